Keep an attempt's place at its server when the client leaves

The module cancelled their attempts, and the outcome freed the place at the server, though a cancel stops no work there. Each freed place was filled on top of the work that went on, so all servers ran at full use (reports of 0.9 to 1.0) while answering 44 requests a second instead of 60; slow answers made more clients leave, and refusals fed their retries.

--- a/balancer.go
+++ b/balancer.go
@@ -162,7 +162,7 @@
 
 // giveUp gives the final answer to a request that is not served.
 func (b *Balancer) giveUp(r *request, now time.Duration) {
-	if b.finish(r, -1); b.mayRefuse(r) {
+	if b.finish(r); b.mayRefuse(r) {
 		b.host.Refuse(r.ID, b.advice(now))
 	} else {
 		b.host.Fail(r.ID)
@@ -189,13 +189,9 @@
 	return min(max(soonest, turns), b.s.Limits.MaxRetry)
 }
 
-// finish notes that r has its answer, or its stream from attempt n, and stops what else is out.
-func (b *Balancer) finish(r *request, n int) {
-	for i, a := range r.attempts {
-		if i != n && !a.ended && !r.done && b.s.Limits.Cancel {
-			b.host.Cancel(r.ID, i)
-		}
-	}
+// finish notes that r has its answer, its stream, or nobody who waits. What else is out is not cancelled: the
+// upstream would work on all the same, and a place given up for it would be filled on top of that work.
+func (b *Balancer) finish(r *request) {
 	if r.done = true; r.out == 0 {
 		delete(b.requests, r.ID)
 	}
@@ -204,7 +200,7 @@
 // Gone drops a request whose client has left.
 func (b *Balancer) Gone(now time.Duration, id RequestID) {
 	if r := b.requests[id]; r != nil && !r.done {
-		b.finish(r, -1)
+		b.finish(r)
 	}
 }
 
@@ -212,7 +208,7 @@
 func (b *Balancer) Started(now time.Duration, id RequestID, n int) {
 	if r := b.requests[id]; r != nil && !r.done && n >= 0 && n < len(r.attempts) {
 		b.answered(r.attempts[n].up, now)
-		b.finish(r, n)
+		b.finish(r)
 	}
 }
 
@@ -229,7 +225,7 @@
 	b.learn(a, o.clean(), now)
 	switch {
 	case r.done || o.Closed || o.Status == OK:
-		b.finish(r, o.Attempt)
+		b.finish(r)
 	case r.out == 0 && !r.held: // else another copy may still answer, or a turn may come free
 		b.place(r, now)
 	}
--- a/service_test.go
+++ b/service_test.go
@@ -107,3 +107,27 @@
 		t.Errorf("%d sent at a bound of %v for each of two, want 4", n, b.start)
 	}
 }
+
+// A client that leaves, and an answer that another copy has given, stop no work at the upstream: the attempt keeps its
+// place until it ends, or the upstream is sent more than it can do.
+func TestAttemptKeepsItsPlaceWhenItsClientLeaves(t *testing.T) {
+	b, h := start(t, settings(), fleet(1))
+	u := b.ups[0]
+	var id RequestID
+	for h.count("send") == len(u.outs) { // until no turn is free
+		id++
+		if b.Request(time.Hour, Request{ID: id, Class: "read", Budget: time.Second}); len(b.held) > 0 {
+			break
+		}
+	}
+	full := len(u.outs)
+	b.Gone(time.Hour+ms, 1)
+	b.Timer(time.Hour+2*ms, tickToken)
+	if h.count("cancel") != 0 || len(u.outs) != full || h.count("send") != full {
+		t.Errorf("%d out and %d sent, of %d that fit; %d cancelled", len(u.outs), h.count("send"), full, h.count("cancel"))
+	}
+	b.Outcome(time.Hour+60*ms, Outcome{ID: 1, Upstream: u.ID, Latency: 60 * ms, Status: OK, Closed: true})
+	if h.count("send") != full+1 || len(b.requests) != full {
+		t.Errorf("%d sent and %d in the ledger, want %d and %d", h.count("send"), len(b.requests), full+1, full)
+	}
+}
