Put a ceiling over all balancers on the attempts out at one server

At the next peak, or with one server less during a release, all balancers filled their bounds at once. The backlog choked the server (answers three times as slow), and the traffic that was displaced choked the next one; the jam then fed on the clients' retries (2.8 tries a request) and outlived its trigger by minutes.

--- a/balancer.go
+++ b/balancer.go
@@ -28,6 +28,7 @@
 	sharers               = 4.0         // balancers that share an upstream, where there are enough
 	subsetLeast           = 2           // upstreams that a balancer uses at least
 	boundStart            = 3.0         // attempts out at one upstream, over all balancers, at first
+	boundMost             = 6.0         // at most, over all balancers: a backlog beyond it makes a server choke
 	boundLeast            = 0.25        // over all balancers: with pauses, so that a crowded server can rest
 	boundCut              = 0.8         // on a crowded answer; twice on a full queue or a time-out
 	boundGrowth           = 0.02        // on an answer while turns are short, times the square of its spare aims
@@ -263,7 +264,7 @@
 			u.bound = b.start
 		} else if (thin || per < easy*least) && u.mean < fullUse && now-b.tightAt < time.Duration(b.lat) {
 			spare := aim/float64(o.Latency) - 1
-			u.bound = max(u.bound, min(u.bound+min(1, boundGrowth*spare*spare), u.most))
+			u.bound = max(u.bound, min(u.bound+min(1, boundGrowth*spare*spare), u.most, b.start*boundMost/boundStart))
 		}
 	case Full, Timeout:
 		b.shrink(u, now, boundCut*boundCut)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -572,7 +572,9 @@
 
 // Bounds once doubled each round trip: many balancers choked a fleet before the first reading told of full use.
 func TestBoundAtMostDoublesBetweenPeriods(t *testing.T) {
-	b, _ := start(t, settings(), fleet(1))
+	set := settings()
+	set.Balancers = 1
+	b, _ := start(t, set, fleet(1))
 	u := b.ups[0]
 	u.least = float64(10 * ms)
 	answers := func(now time.Duration) {
@@ -832,3 +834,25 @@
 		t.Errorf("patience %v where answers take 100ms as a rule", p)
 	}
 }
+
+// Each balancer once let its bound grow for itself while a server had use to spare. At the next peak all of them filled
+// their bounds at once, and the backlog choked the server for as long as it lasted.
+func TestBoundsOfAllBalancersHaveACeiling(t *testing.T) {
+	for _, balancers := range []int{1, 2, 4} {
+		set := settings()
+		set.Balancers = balancers
+		b, _ := start(t, set, fleet(1))
+		u := b.ups[0]
+		u.mean, u.readings, u.least = 0.2, bandWindow, float64(10*ms)
+		for now := time.Hour; now < time.Hour+20*bandPeriod; now += bandPeriod {
+			b.tightAt = now
+			for range 50 {
+				b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: 10 * ms, Status: OK}, now)
+			}
+			b.step(now)
+		}
+		if total := u.bound * float64(balancers); math.Abs(total-boundMost) > 1e-9 {
+			t.Errorf("%d balancers: %v attempts over all, want %v", balancers, total, boundMost)
+		}
+	}
+}
