Count against a tenant's quota only what is within it and not refused

A refused client tries up to three times more, each counted anew, and what was over the quota counted as well without an end. One tenant at twice its quota, or any tenant during a jam, had all of its requests valued at a tenth, and for minutes afterwards; held requests were then served in an order that had little to do with their worth.

--- a/balancer.go
+++ b/balancer.go
@@ -112,6 +112,7 @@
 		r.worth /= r.units
 	}
 	if t := b.tenants[q.Tenant]; t != nil && t.over(now) {
+		r.over = true
 		r.worth *= b.s.OverShareWorth
 	}
 	// A later try shows its age by a short budget. Past the aim such once took the turns of those in time.
@@ -193,6 +194,9 @@
 // finish notes that r has its answer, its stream, or nobody who waits. What else is out is not cancelled: the
 // upstream would work on all the same, and a place given up for it would be filled on top of that work.
 func (b *Balancer) finish(r *request) {
+	if t := b.tenants[r.Tenant]; t != nil && !r.done && !r.over && len(r.attempts) == 0 {
+		t.level = max(0, t.level-1) // it was given nothing: its next try is the same request
+	}
 	if r.done = true; r.out == 0 {
 		delete(b.requests, r.ID)
 	}
--- a/service_test.go
+++ b/service_test.go
@@ -131,3 +131,37 @@
 		t.Errorf("%d sent and %d in the ledger, want %d and %d", h.count("send"), len(b.requests), full+1, full)
 	}
 }
+
+// A tenant that asks for twice its quota is over it with half of its requests, however long that lasts.
+func TestTenantOverItsQuotaKeepsItsShare(t *testing.T) {
+	a, within := &tenant{rate: 50}, 0
+	for now := time.Duration(0); now < 60*time.Second; now += 10 * ms {
+		if !a.over(now) && now >= 30*time.Second {
+			within++
+		}
+	}
+	if within < 1495 || within > 1505 {
+		t.Errorf("%d of 3000 requests are within a quota of 1500", within)
+	}
+	if later := 61 * time.Second; a.over(later) {
+		t.Error("over the quota a second after the last request")
+	}
+}
+
+// Clients that are refused ask again, several times each: counted every time they used up their tenant's quota for
+// nothing, and its requests were worth a tenth from then on.
+func TestRefusedTriesUseUpNoQuota(t *testing.T) {
+	s := settings()
+	s.Tenants = []Tenant{{Name: "small", Quota: 20}}
+	b, h := start(t, s, nil) // nobody to send to
+	for i := range RequestID(200) {
+		b.Request(time.Hour, Request{ID: i + 1, Class: "write", Tenant: "small", Budget: 10 * ms})
+	}
+	if h.count("refuse") != 200 {
+		t.Fatalf("%d refused of 200", h.count("refuse"))
+	}
+	b.Request(time.Hour, Request{ID: 900, Class: "write", Tenant: "small", Budget: time.Second})
+	if r := b.requests[900]; r == nil || r.over {
+		t.Error("over the quota, though nothing has been sent")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -11,10 +11,15 @@
 // tenant counts one customer's requests against this balancer's part of its quota.
 type tenant struct{ rate, level, at float64 }
 
-// over counts a request and reports whether its tenant is over its quota.
+// over counts a request that is within its tenant's quota, and reports whether this one is over it. What is over the
+// quota is not counted, or a tenant that asks for more than its share would be left none.
 func (t *tenant) over(now time.Duration) bool {
-	t.level, t.at = max(0, t.level-t.rate*(now.Seconds()-t.at))+1, now.Seconds()
-	return t.level > max(t.rate, 1)
+	t.level, t.at = max(0, t.level-t.rate*(now.Seconds()-t.at)), now.Seconds()
+	if t.level+1 > max(t.rate, 1) {
+		return true
+	}
+	t.level++
+	return false
 }
 
 // class is one kind of request, its usual latency, ns, and the longest budget of a try.
@@ -41,6 +46,7 @@
 	attempts         []*attempt
 	out              int
 	done, held       bool
+	over             bool // its tenant's quota
 }
 
 // upstream is what this balancer knows of one server.
