Learn the usual budget of a try by majority, not by its longest

Mend: the usual budget is that of most tries, by a vote that forgets. A last try tells its age too and counts as late only when it is.

The random-event test then met a balancer with no warm server to judge a cold one by, which asked it 28 times in 1.5 s, one at a time (24.5 fit). It now rests between two for as long as two usual answers take.

Ruled out: that it works by the refusal of late tries as such, since these were cut before as well.

--- a/balancer.go
+++ b/balancer.go
@@ -39,7 +39,8 @@
 	patienceDevs          = 5.0         // deviations over its usual latency before an upstream is silent
 	tipMargin             = 0.6         // part of the cold budget that is used
 	sendSpare             = 2.33        // latencies left to the aim of a held request sent, less its late worth
-	budgetNoise           = 16          // a budget shorter by one in this many is a client's later try
+	budgetNoise           = 16          // a budget that differs by one in this many is a client's later try
+	budgetVotes           = 64          // tries of other budgets that it takes to unlearn the usual one, at most
 	ticksPerAim           = 16          // housekeeping runs this often in the shortest aim
 	waitGrowth            = 2           // trials, failed connects and discovery calls are spaced by this growth
 	logEvery              = 5 * time.Second
@@ -115,10 +116,10 @@
 		r.over = true
 		r.worth *= b.s.OverShareWorth
 	}
-	// A later try shows its age by a short budget. Past the aim such once took the turns of those in time.
+	// A try of the usual budget may be a first one. Any other was given what is left of the deadline, a last one
+	// more than usual, and so shows its age. Past the aim such once took the turns of those in time.
 	spare := time.Duration((sendSpare - c.LateWorth) * cmp.Or(c.lat, b.lat))
-	c.budget = max(c.budget, q.Budget)
-	if q.Budget < c.budget-c.budget/budgetNoise && c.Aim-(c.Deadline-q.Budget) < spare {
+	if !c.usual(q.Budget) && c.Aim-(c.Deadline-q.Budget) < spare {
 		r.worth *= c.LateWorth
 	}
 	// Held requests are looked at once a tick: without one in hand a short budget ran out unseen.
@@ -159,6 +160,7 @@
 	a := &attempt{r: r, up: u, sentAt: now}
 	r.attempts, r.out, r.held = append(r.attempts, a), r.out+1, false
 	u.outs, u.carried, u.spent = append(u.outs, a), u.carried+r.units, u.spent+max(1, r.units)
+	u.spentAt = now
 	b.host.Send(r.ID, u.ID, timeout)
 }
 
@@ -404,8 +406,8 @@
 // coldRoom reports whether r fits this balancer's part of what a cold u may get over TipAfter, judged by what
 // warm ones carry. No request counts less than the mean: many small ones once pushed a server over.
 func (b *Balancer) coldRoom(u *upstream, r *request, now time.Duration) bool {
-	if b.carry == 0 { // no warm upstream to judge by: one at a time
-		return len(u.outs) == 0
+	if b.carry == 0 { // no warm upstream to judge by: one at a time, and as long a rest between two
+		return len(u.outs) == 0 && now-u.spentAt >= 2*time.Duration(b.lat)
 	}
 	rate := tipMargin * b.s.Rules.TipMultiple * b.ramp(u, now) * u.weight * b.carry / bandPeriod.Seconds()
 	u.spent, u.spentAt = max(0, u.spent-rate/2*(now-u.spentAt).Seconds()), now
--- a/service_test.go
+++ b/service_test.go
@@ -165,3 +165,35 @@
 		t.Error("over the quota, though nothing has been sent")
 	}
 }
+
+// A client gives its last try all of the time that is left, more than its first one had. Taken for the usual budget it
+// once made all first tries look late for good.
+func TestLastTryIsNotTheMeasureOfFirstOnes(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		budget time.Duration // of 1 s; the aim is 300 ms
+		sent   bool
+	}{
+		{"first try", 500 * ms, true},
+		{"last try, begun at once", 990 * ms, true},
+		{"last try past the aim", 650 * ms, false},
+		{"later try past the aim", 200 * ms, false},
+	} {
+		b, h := start(t, settings(), fleet(4))
+		now, id := time.Hour, RequestID(0)
+		for _, budget := range []time.Duration{990 * ms, 500 * ms, 500 * ms, 500 * ms, 990 * ms, 500 * ms} {
+			id++
+			now += 100 * ms
+			b.Request(now, Request{ID: id, Class: "write", Budget: budget})
+			if r := b.requests[id]; r != nil && r.out == 1 {
+				b.Outcome(now, Outcome{ID: id, Upstream: r.attempts[0].up.ID, Latency: 20 * ms, Status: OK, Closed: true})
+			}
+		}
+		now += time.Second
+		b.tightAt = now
+		b.Request(now, Request{ID: 100, Class: "write", Budget: c.budget})
+		if sent := h.count("send id=100") == 1; sent != c.sent {
+			t.Errorf("%s: sent %v, want %v", c.name, sent, c.sent)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -22,11 +22,26 @@
 	return false
 }
 
-// class is one kind of request, its usual latency, ns, and the longest budget of a try.
+// class is one kind of request, its usual latency, ns, and the usual budget of a try, with the votes for that.
 type class struct {
 	Class
 	lat    float64
 	budget time.Duration
+	votes  int
+}
+
+// usual takes a try's budget and reports whether it is the usual one, by a majority vote that forgets. The longest
+// budget is none to go by: a client's last try may have all of the deadline that is left.
+func (c *class) usual(budget time.Duration) bool {
+	if c.votes == 0 {
+		c.budget = budget
+	}
+	if (budget - c.budget).Abs() <= c.budget/budgetNoise {
+		c.votes = min(c.votes+1, budgetVotes)
+		return true
+	}
+	c.votes--
+	return false
 }
 
 // attempt is one send of a request.
