Measure this balancer's part of the traffic in place of an even split

When one of two died, the other kept to half of each server and refused 25 to 40% beside servers that were hardly busy (median answer 67 ms against 49 ms), and half of each quota counted as over it. The same holds for the balancer that the front sends most clients to.

Mend: once a period a balancer sets what it had answered against the rates that the servers report in all. Its bounds and quotas follow that part where it is over the even one; they are never under it, so that a busy neighbour pushes nobody out.

--- a/balancer.go
+++ b/balancer.go
@@ -29,6 +29,7 @@
 	subsetLeast           = 2           // upstreams that a balancer uses at least
 	boundStart            = 3.0         // attempts out at one upstream, over all balancers, at first
 	boundMost             = 6.0         // at most, over all balancers: a backlog beyond it makes a server choke
+	partWeight            = 0.3         // weight of a period's part of the traffic in the mean of it
 	boundLeast            = 0.25        // over all balancers: with pauses, so that a crowded server can rest
 	boundCut              = 0.8         // on a crowded answer; twice on a full queue or a time-out
 	boundGrowth           = 0.02        // on an answer while turns are short, times the square of its spare aims
@@ -61,7 +62,7 @@
 		b.safest, shortest = min(b.safest, c.Repeat), min(shortest, c.Aim)
 	}
 	for _, t := range s.Tenants {
-		b.tenants[t.Name] = &tenant{rate: t.Quota / float64(s.Balancers), at: now.Seconds()}
+		b.tenants[t.Name] = &tenant{quota: t.Quota, rate: t.Quota / float64(s.Balancers), at: now.Seconds()}
 	}
 	b.gather(now)
 	b.lat = float64(shortest) / 4 // until answers tell
@@ -249,7 +250,8 @@
 	}
 	switch o.Status {
 	case OK:
-		w := max(smoothing, 1-u.bound)                           // the rarer its answers, the more each one tells
+		w := max(smoothing, 1-u.bound) // the rarer its answers, the more each one tells
+		u.answers++
 		follow(&u.latDev, math.Abs(float64(o.Latency)-u.lat), w) // at first as large as the mean
 		follow(&u.lat, float64(o.Latency), w)
 		follow(&u.units, max(r.units, 0.5), w) // small ones have a fixed part too
@@ -365,8 +367,10 @@
 		} else {
 			u.factor = min(1, u.factor*restoreStep)
 		}
+		u.bound = min(u.bound, b.start*boundMost/boundStart)
 		u.area, u.most = 0, max(2*u.bound, boundStart) // or it grew tenfold before a reading told of full use
 	}
+	b.reckon(now)
 	b.stepAt, b.ceiling = now, b.rank(2, func(u *upstream) float64 { return u.mean })
 	b.least = b.rank(4, func(u *upstream) float64 { return u.least })
 	b.calm = b.rank(4, func(u *upstream) float64 { return u.calm })
@@ -380,6 +384,24 @@
 	b.gather(now)
 }
 
+// reckon sets what this balancer had answered in the period against what the upstreams report in all.
+// What others leave idle, since they are down or have few clients, is this one's to use.
+func (b *Balancer) reckon(now time.Duration) {
+	var own, all float64
+	for _, u := range b.near {
+		if u.member && u.answers > 0 && u.last.Rate > 0 {
+			own, all = own+u.answers, all+u.last.Rate*(now-b.stepAt).Seconds()
+		}
+		u.answers = 0
+	}
+	if all > 0 {
+		follow(&b.part, min(own/all, 1), partWeight)
+		for _, t := range b.tenants {
+			t.rate = t.quota * max(b.part, 1/float64(b.s.Balancers))
+		}
+	}
+}
+
 // share is u's part of the traffic, not scaled.
 func (b *Balancer) share(u *upstream, now time.Duration) float64 {
 	return u.weight * u.factor * b.ramp(u, now)
@@ -564,7 +586,8 @@
 	slices.SortFunc(ring, func(x, y *upstream) int { return cmp.Compare(x.place, y.place) })
 	n, all := float64(len(ring)), float64(b.s.Balancers)
 	want := max(1, min(n, max(subsetLeast, math.Ceil(n*sharers/max(sharers, all-sharers)))))
-	b.start = boundStart * max(n, 1) / want / all
+	even := max(n, 1) / want / all
+	b.start = boundStart * max(even, min(b.part, 1))
 	_, at := math.Modf(float64(b.s.Rank) * math.Phi)
 	good, chosen := 0.0, map[*upstream]bool{}
 	for i := 0; i < min(len(ring), int(2*want)) && good < want; i++ {
--- a/service_test.go
+++ b/service_test.go
@@ -1,6 +1,7 @@
 package clayladder
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -197,3 +198,39 @@
 		}
 	}
 }
+
+// A balancer whose peers are down, or have few clients, once kept to an even part of each server and of each quota, and
+// refused requests beside idle servers. What the servers report in all tells it how much is left for it.
+func TestPartOfTheTrafficIsMeasured(t *testing.T) {
+	s := settings() // two balancers
+	s.Tenants = []Tenant{{Name: "small", Quota: 30}}
+	b, _ := start(t, s, fleet(4))
+	now := time.Hour
+	periods := func(n int, others float64) {
+		for range n {
+			now += bandPeriod
+			for _, u := range b.ups {
+				u.answers, u.last.Rate = 20, 20+others
+			}
+			b.step(now)
+		}
+	}
+	even := b.start
+	for _, c := range []struct {
+		name   string
+		others float64
+		part   float64
+	}{{"alone", 0, 1}, {"two alike", 20, 0.5}, {"one with few clients", 60, 0.5}} {
+		periods(40, c.others)
+		if math.Abs(b.start-2*c.part*even) > 0.01 || math.Abs(b.tenants["small"].rate-30*c.part) > 0.1 {
+			t.Errorf("%s: bounds from %v, quota %v; want %v, %v", c.name, b.start, b.tenants["small"].rate, 2*c.part*even, 30*c.part)
+		}
+	}
+	for _, u := range b.ups {
+		u.answers = 0
+	}
+	b.step(now + bandPeriod) // nothing was answered: as before
+	if math.Abs(b.start-even) > 0.01 {
+		t.Errorf("bounds from %v after a period without answers, want %v", b.start, even)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -8,8 +8,8 @@
 
 // The types that the decisions in balancer.go keep. Nothing is decided here.
 
-// tenant counts one customer's requests against this balancer's part of its quota.
-type tenant struct{ rate, level, at float64 }
+// tenant counts one customer's requests against this balancer's part of its quota: rate, a second.
+type tenant struct{ quota, rate, level, at float64 }
 
 // over counts a request that is within its tenant's quota, and reports whether this one is over it. What is over the
 // quota is not counted, or a tenant that asks for more than its share would be left none.
@@ -85,6 +85,7 @@
 	lat, latDev, units          float64    // usual latency, its mean deviation, ns; usual work of its answers
 	least, slow, calm           float64    // least latency for the work seen; its slow mean; the least of that
 	bound, most                 float64    // attempts that may be out at once; its top this period
+	answers                     float64    // in this period
 	carried, work, spent        float64    // work sent this period; its mean; leaky count while cold
 }
 
@@ -107,6 +108,7 @@
 	ceiling                 float64     // the fleet's middle level: what all carry is no one's excess
 	carry                   float64     // work a period that warm upstreams carry for their weight and use
 	least, calm             float64     // those of an upstream, as a good part of the fleet has them
+	part                    float64     // of what the upstreams answer, as far as their reports tell
 	tick, stepAt, watchWait time.Duration
 	tightAt                 time.Duration // last time that no upstream could take a request
 	logged                  map[string]time.Duration
