Start lost attempts elsewhere and free the places that they hold

Each held a place until the deadline, two of them filled a server's bound, and with nothing coming back it passed for silent. Trials were spaced by a wait that doubled without an end (8.8 s), and a trial that was reset put off the server's turns by that wait as well.

Mend: an attempt that is overdue while its server, with use to spare, answers what was sent later is lost: it frees its place and starts elsewhere where the class allows it. The patience with such attempts is learnt from whether they are answered after all. Trials are at most the ramp time apart, and failures of a silent server move its trials only.

--- a/balancer.go
+++ b/balancer.go
@@ -38,6 +38,8 @@
 	crowdedShare          = 0.5         // and it takes this part of the aim: far under it crowding hurts nobody
 	leastDrift            = 0.005       // how fast the least latency is unlearnt
 	patienceDevs          = 5.0         // deviations over its usual latency before an upstream is silent
+	lostAfter             = 2           // answers to later attempts after which one that is overdue is lost
+	lostDoubt             = 2.0         // patience that is added while what is overdue is answered after all
 	tipMargin             = 0.6         // part of the cold budget that is used
 	sendSpare             = 2.33        // latencies left to the aim of a held request sent, less its late worth
 	budgetNoise           = 16          // a budget that differs by one in this many is a client's later try
@@ -55,7 +57,7 @@
 	}
 	b := &Balancer{s: s, host: host, rng: rand.New(rand.NewPCG(seed, 0)), classes: map[string]*class{},
 		tenants: map[string]*tenant{}, safest: Unsafe, requests: map[RequestID]*request{},
-		byID: map[UpstreamID]*upstream{}, logged: map[string]time.Duration{}, stepAt: now, tightAt: now}
+		byID: map[UpstreamID]*upstream{}, logged: map[string]time.Duration{}, stepAt: now, tightAt: now, doubt: 1}
 	shortest := s.Classes[0].Aim
 	for _, c := range s.Classes {
 		b.classes[c.Name] = &class{Class: c}
@@ -153,7 +155,7 @@
 	timeout := time.Duration(0) // until the client quits: work half done is worth more than work begun anew
 	if u.silent {
 		u.trialAt = now + u.wait
-		u.wait *= waitGrowth
+		u.wait = min(u.wait*waitGrowth, max(u.wait, b.s.Rules.RampTime))
 		if r.class.Repeat != Unsafe { // a trial leaves time for another attempt
 			timeout = b.patience(u, r.units)
 		}
@@ -230,6 +232,17 @@
 	a.ended, a.neverRan = true, o.Status == Full || o.Status == ConnectFailed || o.Status == Moot
 	r.out--
 	a.up.outs = slices.DeleteFunc(a.up.outs, func(x *attempt) bool { return x == a })
+	for _, x := range a.up.outs {
+		if x.sentAt < a.sentAt && o.Status == OK {
+			x.passed++
+		}
+	}
+	if b.overdue(a, 1, now) && (o.Status == OK || o.Status == Timeout) { // was it lost, or only slow?
+		b.doubt *= 1 - smoothing
+		if o.Status == OK {
+			b.doubt += smoothing
+		}
+	}
 	b.learn(a, o.clean(), now)
 	switch {
 	case r.done || o.Closed || o.Status == OK:
@@ -277,8 +290,10 @@
 	case Full, Timeout:
 		b.shrink(u, now, boundCut*boundCut)
 	case ConnectFailed, Reset: // down, or its connection table is full: ask less often
-		u.freeAt = now + u.wait
-		u.wait = min(u.wait*waitGrowth, b.s.Rules.RampTime)
+		if !u.silent { // else its trials are spaced already
+			u.freeAt = now + u.wait
+			u.wait = min(u.wait*waitGrowth, b.s.Rules.RampTime)
+		}
 	}
 	p := b.pause(u) // one left idle has an attempt in hand: requests come by chance
 	u.freeAt = max(u.freeAt, min(now, max(u.freeAt, a.sentAt-p)+now-a.sentAt)+p)
@@ -442,26 +457,51 @@
 	return time.Duration(usual*max(1, units)) + b.tick
 }
 
-// quiet looks whether u has fallen silent: attempts are out and nothing has come back for longer than its
-// patience. Its turns are skipped, it gets one trial at a time, and what may run twice starts elsewhere.
+// quiet looks for attempts that are lost: these give up their place and start elsewhere. Then it looks whether
+// u has fallen silent: attempts are out and nothing has come back for longer than its patience. Its turns are
+// skipped, it gets one trial at a time, and what may run twice starts elsewhere.
 func (b *Balancer) quiet(u *upstream, now time.Duration) {
-	if u.silent || len(u.outs) == 0 {
+	var first *attempt
+	for _, a := range slices.Clone(u.outs) {
+		if !a.lost && b.overdue(a, 1+lostDoubt*b.doubt, now) {
+			a.lost = true
+			b.log(now, "lost", "upstream %d owes an answer for %v and gave %d to later ones: starting elsewhere", u.ID,
+				now-a.sentAt, a.passed)
+			b.rescue(a, now)
+		} else if !a.lost && first == nil {
+			first = a
+		}
+	}
+	if u.silent || first == nil {
 		return
 	}
-	since, p := now-max(u.outs[0].sentAt, u.answeredAt), b.patience(u, u.outs[0].r.units)
+	since, p := now-max(first.sentAt, u.answeredAt), b.patience(u, first.r.units)
 	if since <= p {
 		return
 	}
 	u.silent, u.wait, u.trialAt = true, p, now+p
 	b.log(now, "silent", "upstream %d owes every answer for %v: turns skipped, trials only", u.ID, since)
 	for _, a := range slices.Clone(u.outs) {
-		if r := a.r; r.class.Repeat == Unsafe || r.done || r.out > 1 {
-			continue
-		} else if v, _ := b.pick(r, now); v != nil {
-			b.send(r, v, now) // a second copy
-		} else if !b.s.Limits.SecondCopies && b.s.Limits.Cancel {
-			b.host.Cancel(r.ID, slices.Index(r.attempts, a))
-		}
+		b.rescue(a, now)
+	}
+}
+
+// overdue tells whether a is out for longer than its upstream's patience, times a factor, while that answers
+// what was sent later and has use to spare. At full use it may as well be a long one in a crowd.
+func (b *Balancer) overdue(a *attempt, times float64, now time.Duration) bool {
+	return a.passed >= lostAfter && a.up.mean < fullUse &&
+		float64(now-a.sentAt) > times*float64(b.patience(a.up, a.r.units))
+}
+
+// rescue starts the request of a, whose answer does not come, elsewhere, if it may run twice and has no other
+// copy out.
+func (b *Balancer) rescue(a *attempt, now time.Duration) {
+	if r := a.r; r.class.Repeat == Unsafe || r.done || r.out > 1 {
+		return
+	} else if v, _ := b.pick(r, now); v != nil {
+		b.send(r, v, now) // a second copy
+	} else if !b.s.Limits.SecondCopies && b.s.Limits.Cancel {
+		b.host.Cancel(r.ID, slices.Index(r.attempts, a))
 	}
 }
 
@@ -472,7 +512,7 @@
 
 // eligible reports whether u may take r at this turn. The bound is a guard: shares decide below it.
 func (b *Balancer) eligible(u *upstream, r *request, now time.Duration) bool {
-	ok := now >= u.freeAt && float64(len(u.outs)) < max(1, math.Round(u.bound))
+	ok := now >= u.freeAt && float64(u.places()) < max(1, math.Round(u.bound))
 	if u.silent { // the safest class goes first as a trial
 		ok = now >= u.trialAt && (r.class.Repeat == b.safest || now >= u.trialAt+u.wait)
 	}
--- a/service_test.go
+++ b/service_test.go
@@ -234,3 +234,51 @@
 		t.Errorf("bounds from %v after a period without answers, want %v", b.start, even)
 	}
 }
+
+// Where single requests got lost on the way, each held its place until the deadline, and two of them made a server that
+// answered all others pass for silent: it was left idle for seconds while requests were refused.
+func TestLostAttemptStartsElsewhereAndFreesItsPlace(t *testing.T) {
+	for _, use := range []float64{0.2, 0.95} {
+		s := settings()
+		s.Limits.SecondCopies = true
+		b, h := start(t, s, fleet(2))
+		b.doubt = 0 // what was overdue before never came
+		now := time.Hour
+		for i := range 40 {
+			serve(t, b, now, RequestID(i+1))
+		}
+		b.Request(now, Request{ID: 100, Class: "read", Budget: time.Second})
+		u := b.requests[100].attempts[0].up
+		for i := range 12 { // later ones are answered, here and at the other
+			now += 40 * ms
+			id := RequestID(200 + i)
+			b.Request(now, Request{ID: id, Class: "write", Budget: time.Second})
+			l := Load{Fields: HasUtil, Util: use + float64(i)/1000}
+			b.Outcome(now+30*ms, Outcome{ID: id, Upstream: b.requests[id].attempts[0].up.ID, Latency: 30 * ms, Status: OK, Closed: true, Load: l})
+		}
+		b.Timer(now, tickToken)
+		r := b.requests[100]
+		if lost := use < fullUse; r.attempts[0].lost != lost || (u.places() == 0) != lost || (r.out == 2) != lost || u.silent {
+			t.Errorf("use %v: lost %v, %d places, %d out, silent %v", use, r.attempts[0].lost, u.places(), r.out, u.silent)
+		}
+		b.Timer(now+b.patience(u, 1), tickToken)
+		if use < fullUse && u.silent {
+			t.Errorf("silent for the sake of a lost attempt: %v", h.lines[len(h.lines)-3:])
+		}
+	}
+}
+
+// Trials of a silent server once came at ever longer intervals, and one that failed to connect put off its turns as well.
+func TestTrialsOfASilentServerAreSpacedByTheRampAtMost(t *testing.T) {
+	b, _ := start(t, settings(), fleet(1))
+	u, now := b.ups[0], time.Hour
+	u.silent, u.wait = true, b.tick
+	for i := range RequestID(20) {
+		now += time.Minute
+		b.Request(now, Request{ID: i + 1, Class: "read", Budget: time.Second})
+		b.Outcome(now+ms, Outcome{ID: i + 1, Upstream: u.ID, Latency: ms, Status: ConnectFailed, Closed: true})
+	}
+	if u.wait > b.s.Rules.RampTime || u.freeAt > now+ms {
+		t.Errorf("waits %v between trials (ramp %v), no turn for another %v", u.wait, b.s.Rules.RampTime, u.freeAt-now)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -50,6 +50,8 @@
 	up              *upstream
 	sentAt          time.Duration
 	ended, neverRan bool
+	passed          int  // later attempts at its upstream that were answered before it
+	lost            bool // its answer is not expected any more
 }
 
 // request is an entry of the ledger; it stays until its last attempt has ended.
@@ -89,6 +91,16 @@
 	carried, work, spent        float64    // work sent this period; its mean; leaky count while cold
 }
 
+// places counts the attempts out that hold a place: all but the lost ones.
+func (u *upstream) places() (n int) {
+	for _, a := range u.outs {
+		if !a.lost {
+			n++
+		}
+	}
+	return n
+}
+
 // Balancer decides for one proxy instance. See the package comment for the contract.
 type Balancer struct {
 	s                       Settings
@@ -108,6 +120,7 @@
 	ceiling                 float64     // the fleet's middle level: what all carry is no one's excess
 	carry                   float64     // work a period that warm upstreams carry for their weight and use
 	least, calm             float64     // those of an upstream, as a good part of the fleet has them
+	doubt                   float64     // part of the overdue attempts that were answered after all
 	part                    float64     // of what the upstreams answer, as far as their reports tell
 	tick, stepAt, watchWait time.Duration
 	tightAt                 time.Duration // last time that no upstream could take a request
