--- a/balancer.go
+++ b/balancer.go
@@ -457,7 +457,7 @@
 	return time.Duration(usual*max(1, units)) + b.tick
 }
 
-// quiet looks for attempts that are lost: these give up their place and start elsewhere. Then it looks whether
+// quiet looks for attempts that are lost, which free their place and start elsewhere. Then it looks whether
 // u has fallen silent: attempts are out and nothing has come back for longer than its patience. Its turns are
 // skipped, it gets one trial at a time, and what may run twice starts elsewhere.
 func (b *Balancer) quiet(u *upstream, now time.Duration) {
