Begin a restarted server's cold budget anew

At fault: send() adds every send to u.spent, coldRoom() alone lets it leak and runs for cold servers only, and member() did not reset it when a server restarted under its id. What it had been sent while warm so kept it without work until its ramp had ended. Two balancers meet it as well, but 80 lose a whole zone's capacity at once.

A line now names a cold server whose budget is spent.

--- a/balancer.go
+++ b/balancer.go
@@ -448,7 +448,11 @@
 	}
 	rate := tipMargin * b.s.Rules.TipMultiple * b.ramp(u, now) * u.weight * b.carry / bandPeriod.Seconds()
 	u.spent, u.spentAt = max(0, u.spent-rate/2*(now-u.spentAt).Seconds()), now
-	return u.spent <= max(0, rate/2*b.s.Rules.TipAfter.Seconds()-max(1, r.units))
+	room := max(0, rate/2*b.s.Rules.TipAfter.Seconds()-max(1, r.units))
+	if u.spent > room {
+		b.log(now, "cold", "upstream %d is cold: %.1f sent of late, over %.1f no more fits", u.ID, u.spent, room)
+	}
+	return u.spent <= room
 }
 
 // patience is how long u may owe every answer before it counts as silent.
@@ -608,6 +612,7 @@
 		u.silent, u.freeAt = false, now
 		if now-e.StartedAt < b.s.Rules.RampTime {
 			b.chill(u, e.StartedAt)
+			u.spent, u.spentAt = b.rng.Float64(), now // not what it got while warm; drawn, or all begin at once
 		}
 	}
 	u.Upstream = e
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -780,6 +780,33 @@
 	}
 }
 
+// What a server had got while it was warm once counted against its cold budget when it came back: it got nothing
+// until its ramp had ended.
+func TestRestartedUpstreamBeginsWithAFreshColdBudget(t *testing.T) {
+	list := fleet(2)
+	b, h := start(t, settings(), list)
+	now := time.Hour
+	for i := range 400 { // both warm, 100 requests a second
+		now += 10 * ms
+		b.Timer(now, tickToken)
+		serve(t, b, now, RequestID(i+1))
+	}
+	list[0].StartedAt = now
+	b.Members(now, ListDelta, list[:1])
+	u, before := b.byID[1], h.count("send")
+	for i := range 200 {
+		now += 10 * ms
+		b.byID[2].freeAt = now + time.Hour // all the traffic asks for the cold one
+		b.Request(now, Request{ID: RequestID(1000 + i), Class: "read", Budget: time.Second})
+		if r := b.requests[RequestID(1000+i)]; r != nil && r.out > 0 {
+			b.Outcome(now, Outcome{ID: r.ID, Upstream: u.ID, Latency: 50 * ms, Status: OK, Closed: true})
+		}
+	}
+	if sent := h.count("send") - before; !u.cold || sent < 10 {
+		t.Errorf("%d of 200 requests sent to a restarted upstream (cold: %v) that carried 50 a second", sent, u.cold)
+	}
+}
+
 // Single long answers of heavy-tailed work cut the bounds of thin flows at half use, and a fifth was refused.
 func TestThinFlowIsNotCutAtSpareUse(t *testing.T) {
 	for _, c := range []struct {
