Test that the deployed program is one dynamically linked process

The test builds by deploy/balancer.toml and looks for the ELF interpreter and the build's settings; without the flags it fails.

--- a/cmd/olivearch/main_test.go
+++ b/cmd/olivearch/main_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"debug/buildinfo"
+	"debug/elf"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -155,3 +158,50 @@
 		t.Errorf("got %v, %s", err, out)
 	}
 }
+
+// The fleet bench loads a library into the balancer: run has to end in one process of a dynamically linked program.
+func TestDeployedProgramIsDynamicallyLinked(t *testing.T) {
+	root := filepath.Join("..", "..")
+	text, err := os.ReadFile(filepath.Join(root, "deploy", "balancer.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := func(name string) string {
+		found := regexp.MustCompile(`(?m)^` + name + ` = "(.*)"$`).FindSubmatch(text)
+		if found == nil {
+			t.Fatalf("deploy/balancer.toml names no %s", name)
+		}
+		return string(found[1])
+	}
+	build := exec.Command("/bin/sh", "-c", key("build"))
+	build.Dir = root
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	path, ok := strings.CutPrefix(key("run"), "exec ")
+	if !ok || strings.ContainsAny(path, " ;&|") {
+		t.Fatalf("run does not end by exec in one program: %s", key("run"))
+	}
+	path = filepath.Join(root, path)
+	program, err := elf.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer program.Close()
+	interpreted := false
+	for _, p := range program.Progs {
+		interpreted = interpreted || p.Type == elf.PT_INTERP
+	}
+	info, err := buildinfo.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := map[string]string{}
+	for _, s := range info.Settings {
+		settings[s.Key] = s.Value
+	}
+	if !interpreted || settings["CGO_ENABLED"] != "1" || !strings.Contains(settings["-ldflags"], "-linkmode=external") {
+		t.Errorf("the build has an ELF interpreter: %v, CGO_ENABLED=%s, -ldflags %s", interpreted, settings["CGO_ENABLED"],
+			settings["-ldflags"])
+	}
+}
