Let all balancers call discovery in turn, at the start and after a failure

Eight seconds after the restart the 30 servers that a release had replaced were known to one to three balancers each, and the old ones, which turn all away, had their bounds cut to 0.07 (state logged each second). Each call logged: of 80 calls at 0 s discovery served 31 in 2.0 s, the others failed for their wait; the 49 that asked again within 0.5 s nearly all failed too, and so on, since discovery works on calls whose caller has given up. After the restart 2 of 56 got their list, 13 were turned away at once, and from 15 to 23 s 237 calls failed and 13 were answered.

At fault: New() calls Host.Watch at once, and Members() waits AskWithin/32 after a first failure, whatever the number of balancers. Alone that is right: discovery then has no other caller. Now the first call is drawn from the time in which discovery can serve one of each balancer, 60 ms each as measured, half of AskWithin at most, and a failed one waits as long. For two balancers that is 0.12 s.

The failure and its wait are logged as before.

--- a/balancer.go
+++ b/balancer.go
@@ -47,6 +47,7 @@
 	ticksPerAim           = 16          // housekeeping runs this often in the shortest aim
 	waitGrowth            = 2           // trials, failed connects and discovery calls are spaced by this growth
 	logEvery              = 5 * time.Second
+	callTime              = 60 * time.Millisecond // of discovery for a call: it served 31 in 2 s
 	tickToken, watchToken = 1, 2
 )
 
@@ -70,8 +71,8 @@
 	b.lat = float64(shortest) / 4 // until answers tell
 	b.tick = max(s.Granularity, shortest/ticksPerAim, time.Millisecond)
 	host.SetTimer(b.tick, tickToken)
-	if s.OnRequest {
-		host.Watch(true)
+	if s.OnRequest { // not all balancers at once, also where a release has started them together
+		host.SetTimer(time.Duration(b.rng.Int64N(int64(b.turnOfCalls())+1)), watchToken)
 	}
 	return b, nil
 }
@@ -577,7 +578,8 @@
 // Members takes what discovery says of the upstreams.
 func (b *Balancer) Members(now time.Duration, mode ListMode, list []Upstream) {
 	if mode == ListFailed { // ask again, later each time and never all instances at once
-		b.watchWait = min(max(b.watchWait*waitGrowth, b.s.Rules.AskWithin/32), b.s.Rules.AskWithin/2)
+		b.watchWait = max(b.watchWait*waitGrowth, b.s.Rules.AskWithin/32, b.turnOfCalls())
+		b.watchWait = min(b.watchWait, b.s.Rules.AskWithin/2)
 		wait := b.watchWait/2 + time.Duration(b.rng.Int64N(int64(b.watchWait)+1))
 		b.host.SetTimer(wait, watchToken)
 		b.log(now, "discovery", "discovery call failed: asking again in %v", wait)
@@ -598,6 +600,11 @@
 	b.dispatch(now)
 }
 
+// turnOfCalls is the time in which discovery, that serves calls in turn, can serve one of each balancer.
+func (b *Balancer) turnOfCalls() time.Duration {
+	return min(time.Duration(b.s.Balancers)*callTime, b.s.Rules.AskWithin/2)
+}
+
 // member applies one list entry.
 func (b *Balancer) member(e Upstream, now time.Duration) {
 	u := b.byID[e.ID]
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -282,6 +282,7 @@
 	s := settings()
 	s.OnRequest = true
 	b, h := start(t, s, fleet(1))
+	b.Timer(time.Hour, watchToken)
 	if h.count("watch") != 1 {
 		t.Fatal("did not subscribe at the start")
 	}
@@ -299,6 +300,46 @@
 	}
 }
 
+// Discovery serves calls in turn, and works on those that have waited too long as well: eighty at once, and again
+// soon after their failure, kept it from answering any.
+func TestBalancersCallDiscoveryInTurn(t *testing.T) {
+	for _, balancers := range []int{2, 80} {
+		s := settings()
+		s.OnRequest, s.Balancers = true, balancers
+		turn := min(time.Duration(balancers)*callTime, s.Rules.AskWithin/2)
+		var first, second []time.Duration
+		for s.Rank = range balancers {
+			var waits []time.Duration
+			h := &recorder{}
+			h.hook = func(kind string, _ RequestID, _ UpstreamID, d time.Duration, n uint64) {
+				if kind == "timer" && n == watchToken {
+					waits = append(waits, d)
+				}
+			}
+			b, err := New(s, uint64(s.Rank), time.Hour, h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if b.Members(time.Hour, ListFailed, nil); h.count("watch") > 0 || len(waits) != 2 {
+				t.Fatalf("%d balancers: %d calls at once, waits %v", balancers, h.count("watch"), waits)
+			}
+			first, second = append(first, waits[0]), append(second, waits[1])
+		}
+		if slices.Max(first) > turn || slices.Min(second) < turn/2 {
+			t.Errorf("%d balancers: first calls up to %v, after a failure from %v on", balancers, slices.Max(first), slices.Min(second))
+		}
+		for _, waits := range [][]time.Duration{first, second} {
+			slices.Sort(waits)
+			for i, at := range waits { // twice as many as can be served are let pass, for chance
+				n, _ := slices.BinarySearch(waits, at+turn/4)
+				if most := max(2, balancers/2); n-i > most {
+					t.Errorf("%d balancers: %d calls within %v", balancers, n-i, turn/4)
+				}
+			}
+		}
+	}
+}
+
 func TestBadSettings(t *testing.T) {
 	for field, spoil := range map[string]func(*Settings){
 		"Classes":                               func(s *Settings) { s.Classes = nil },
