Hold a request of a dearer class for longer before it is refused

At fault: Request() asks of every class the same chance to be in time. What a turn is worth depends on both: with a third of the chance a booking still outweighs a timetable. The spare time now shrinks with the least worth of a class set against its own. Ruled out: bounds and turns, which are the same for both; quotas, over which nobody was counted.

--- a/balancer.go
+++ b/balancer.go
@@ -41,7 +41,7 @@
 	lostAfter             = 2           // answers to later attempts after which one that is overdue is lost
 	lostDoubt             = 2.0         // patience that is added while what is overdue is answered after all
 	tipMargin             = 0.6         // part of the cold budget that is used
-	sendSpare             = 2.33        // latencies left to the aim of a held request sent, less its late worth
+	sendSpare             = 2.33        // latencies to the aim left to the cheapest class, less its late worth
 	budgetNoise           = 16          // a budget that differs by one in this many is a client's later try
 	budgetVotes           = 64          // tries of other budgets that it takes to unlearn the usual one, at most
 	ticksPerAim           = 16          // housekeeping runs this often in the shortest aim
@@ -61,7 +61,12 @@
 		byID: map[UpstreamID]*upstream{}, logged: map[string]time.Duration{}, stepAt: now, tightAt: now, doubt: 1}
 	shortest := s.Classes[0].Aim
 	for _, c := range s.Classes {
-		b.classes[c.Name] = &class{Class: c}
+		b.classes[c.Name] = &class{Class: c, stake: 1}
+		for _, x := range s.Classes {
+			if x.Worth > 0 && x.Worth < c.Worth {
+				b.classes[c.Name].stake = min(b.classes[c.Name].stake, x.Worth/c.Worth)
+			}
+		}
 		b.safest, shortest = min(b.safest, c.Repeat), min(shortest, c.Aim)
 	}
 	for _, t := range s.Tenants {
@@ -122,7 +127,8 @@
 	}
 	// A try of the usual budget may be a first one. Any other was given what is left of the deadline, a last one
 	// more than usual, and so shows its age. Past the aim such once took the turns of those in time.
-	spare := time.Duration((sendSpare - c.LateWorth) * cmp.Or(c.lat, b.lat))
+	// The more a class is worth, the sooner a small chance to be in time outweighs what a cheap one is sure of.
+	spare := time.Duration((sendSpare - c.LateWorth) * cmp.Or(c.lat, b.lat) * c.stake)
 	if !c.usual(q.Budget) && c.Aim-(c.Deadline-q.Budget) < spare {
 		r.worth *= c.LateWorth
 	}
--- a/service_test.go
+++ b/service_test.go
@@ -282,3 +282,34 @@
 		t.Errorf("waits %v between trials (ramp %v), no turn for another %v", u.wait, b.s.Rules.RampTime, u.freeAt-now)
 	}
 }
+
+// A booking, worth three timetables and with less time, was refused 50 ms after it came while timetables waited for the
+// next turns and got them.
+func TestDearClassIsHeldLongerThanCheapOne(t *testing.T) {
+	s := settings()
+	s.WorthByWork, s.Classes[1].Worth = false, 15
+	s.Classes[0].Worth, s.Classes[0].LateWorth = 5, s.Classes[1].LateWorth
+	b, _ := start(t, s, fleet(1))
+	b.lat = float64(100 * ms)
+	now := time.Hour + time.Second
+	b.ups[0].freeAt = now + time.Minute
+	b.Request(now, Request{ID: 1, Class: "keyed", Budget: time.Second})
+	b.Request(now, Request{ID: 2, Class: "read", Budget: time.Second})
+	dear := b.requests[1].sendBy - now
+	if cheap := b.requests[2].sendBy - now; dear < cheap+50*ms || dear > s.Classes[1].Aim {
+		t.Errorf("a class of worth 15 is held for %v, one of worth 5 with the same aim for %v", dear, cheap)
+	}
+}
+
+// Worth may be nought: no class is then held by a figure that is none.
+func TestClassOfNoWorthSetsNoStake(t *testing.T) {
+	s := settings()
+	s.Classes[0].Worth = 0
+	b, _ := start(t, s, fleet(1))
+	if x := b.classes["read"].stake; x != 1 {
+		t.Errorf("stake %v of a class worth nothing", x)
+	}
+	if x := b.classes["keyed"].stake; x != s.Classes[2].Worth/s.Classes[1].Worth {
+		t.Errorf("stake %v beside a class worth nothing", x)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -22,9 +22,11 @@
 	return false
 }
 
-// class is one kind of request, its usual latency, ns, and the usual budget of a try, with the votes for that.
+// class is one kind of request, what the cheapest one is worth set against it, its usual latency, ns, and the usual
+// budget of a try, with the votes for that.
 type class struct {
 	Class
+	stake  float64
 	lat    float64
 	budget time.Duration
 	votes  int
