Refuse at once what more requests stand before than turns will come

What newcomers have buried is held to the end of its time all the same; its client's next try, which would stand first, comes that much later, and 10 to 17% of the requests are answered late.

At fault: dispatch() ends a held request at its sendBy only. It now also ends one ahead of which more are held than the balancer's attempts of late will reach in its time.

A line tells what is refused so.

--- a/balancer.go
+++ b/balancer.go
@@ -172,6 +172,7 @@
 	r.attempts, r.out, r.held = append(r.attempts, a), r.out+1, false
 	u.outs, u.carried, u.spent = append(u.outs, a), u.carried+r.units, u.spent+max(1, r.units)
 	u.spentAt = now
+	b.sends++
 	b.host.Send(r.ID, u.ID, timeout)
 }
 
@@ -393,6 +394,8 @@
 		u.bound = min(u.bound, b.start*boundMost/boundStart)
 		u.area, u.most = 0, max(2*u.bound, boundStart) // or it grew tenfold before a reading told of full use
 	}
+	follow(&b.pace, b.sends/bandPeriod.Seconds(), partWeight)
+	b.sends = 0
 	b.reckon(now)
 	b.stepAt, b.ceiling = now, b.rank(2, func(u *upstream) float64 { return u.mean })
 	b.least = b.rank(4, func(u *upstream) float64 { return u.least })
@@ -557,7 +560,8 @@
 
 // --- Admission ---
 
-// dispatch sends held requests while turns come free, and ends those that could not be answered in time. A
+// dispatch sends held requests while turns come free. It ends those that could not be answered in time, and
+// those ahead of which more are held than turns will come: the next try of their clients stands first. A
 // first try that fits nowhere shows that no later one fits.
 func (b *Balancer) dispatch(now time.Duration) {
 	kept, blocked := b.held[:0], false
@@ -572,6 +576,10 @@
 			}
 			blocked = len(r.attempts) == 0
 		}
+		if ahead := float64(len(kept)); !r.done && b.pace > 0 && ahead > b.pace*(r.sendBy-now).Seconds() {
+			b.log(now, "buried", "%.0f held ahead, %.1f sent a second: refusing", ahead, b.pace)
+			b.giveUp(r, now)
+		}
 		if !r.done {
 			kept = append(kept, r)
 		}
--- a/service_test.go
+++ b/service_test.go
@@ -322,6 +322,31 @@
 	}
 }
 
+// The newest stand first: what many newer ones had buried was held to the end of its time for nothing.
+func TestBuriedRequestIsRefusedAtOnce(t *testing.T) {
+	s := settings()
+	s.WorthByWork = false
+	b, h := start(t, s, fleet(1))
+	b.lat, b.pace = float64(20*ms), 20
+	now := time.Hour + time.Second
+	b.ups[0].freeAt = now + time.Minute
+	for i := range RequestID(10) {
+		b.Request(now, Request{ID: i + 1, Class: []string{"keyed", "read"}[min(i, 1)], Budget: time.Second})
+	}
+	left := (b.requests[10].sendBy - now).Seconds()
+	b.dispatch(now)
+	ahead := int(b.pace * left) // so many turns come in the time of the last
+	if len(b.held) != ahead+1 || h.count("refuse") != 10-len(b.held) || b.requests[1] == nil || b.requests[10] == nil {
+		t.Errorf("%d held, %d refused, where %d turns come in time", len(b.held), h.count("refuse"), ahead)
+	}
+	if b.pace = 1000; len(b.held) > 0 {
+		before := len(b.held)
+		if b.dispatch(now); len(b.held) != before {
+			t.Errorf("%d of %d held where turns come fast", len(b.held), before)
+		}
+	}
+}
+
 // Worth may be nought: no class is then held by a figure that is none.
 func TestClassOfNoWorthSetsNoStake(t *testing.T) {
 	s := settings()
--- a/state.go
+++ b/state.go
@@ -118,6 +118,7 @@
 	held                    []*request  // by worth, then newest first
 	turn                    float64     // virtual time of the interleave
 	lat, cost               float64     // usual latency, mean cost hint
+	sends, pace             float64     // attempts in this period; a second, of late
 	start                   float64     // an upstream's bound before anything is learnt
 	ceiling                 float64     // the fleet's middle level: what all carry is no one's excess
 	carry                   float64     // work a period that warm upstreams carry for their weight and use
