Take a quota's part from the whole traffic, and leave it room for chance

At fault: reckon() takes the part that a balancer has of what its own few servers answer, a fifth, for its part of all traffic, an eightieth; with two balancers, which use all servers, they are the same. And over() lets a second's worth pass at once, which is two requests here: chance alone passes it. The part is now taken times the subset's size over the list's, and the bucket holds two deviations of chance more.

--- a/balancer.go
+++ b/balancer.go
@@ -42,6 +42,7 @@
 	lostDoubt             = 2.0         // patience that is added while what is overdue is answered after all
 	tipMargin             = 0.6         // part of the cold budget that is used
 	sendSpare             = 2.33        // latencies to the aim left to the cheapest class, less its late worth
+	quotaChance           = 2.0         // deviations of a second's requests by chance that a quota lets pass
 	budgetNoise           = 16          // a budget that differs by one in this many is a client's later try
 	budgetVotes           = 64          // tries of other budgets that it takes to unlearn the usual one, at most
 	ticksPerAim           = 16          // housekeeping runs this often in the shortest aim
@@ -411,10 +412,19 @@
 }
 
 // reckon sets what this balancer had answered in the period against what the upstreams report in all.
-// What others leave idle, since they are down or have few clients, is this one's to use.
+// What others leave idle, since they are down or have few clients, is this one's to use. Quotas are of the
+// whole traffic, and the subset stands for as much of that as of the upstreams.
 func (b *Balancer) reckon(now time.Duration) {
-	var own, all float64
+	var own, all, mine, ring float64
+	for _, u := range b.ups {
+		if u.State == Active {
+			ring++
+		}
+	}
 	for _, u := range b.near {
+		if u.member {
+			mine++
+		}
 		if u.member && u.answers > 0 && u.last.Rate > 0 {
 			own, all = own+u.answers, all+u.last.Rate*(now-b.stepAt).Seconds()
 		}
@@ -423,7 +433,7 @@
 	if all > 0 {
 		follow(&b.part, min(own/all, 1), partWeight)
 		for _, t := range b.tenants {
-			t.rate = t.quota * max(b.part, 1/float64(b.s.Balancers))
+			t.rate = t.quota * max(b.part*min(mine/max(ring, 1), 1), 1/float64(b.s.Balancers))
 		}
 	}
 }
--- a/service_test.go
+++ b/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -347,6 +348,50 @@
 	}
 }
 
+// A balancer of many has a good part of what its few servers answer, and a small one of the whole traffic: quotas by
+// the former let a tenant send twenty times its share.
+func TestQuotaIsOfTheWholeTraffic(t *testing.T) {
+	s := settings()
+	s.Balancers, s.Tenants = 80, []Tenant{{Name: "big", Quota: 800}}
+	b, _ := start(t, s, fleet(60))
+	now := time.Hour
+	for range 40 {
+		now += bandPeriod
+		for _, u := range b.near {
+			u.answers, u.last.Rate = 5, 25
+		}
+		b.step(now)
+	}
+	used := float64(len(b.near)) / 60
+	if got, want := b.tenants["big"].rate, 800*0.2*used; used > 0.2 || math.Abs(got-want) > want/20 {
+		t.Errorf("rate %.1f of a quota of 800 at a fifth of %.0f%% of the servers, want %.1f", got, 100*used, want)
+	}
+}
+
+// A quota split over many balancers is a few requests a second: chance alone passed it often.
+func TestSmallQuotaLeavesRoomForChance(t *testing.T) {
+	rng, u, now, over := rand.New(rand.NewPCG(1, 2)), tenant{rate: 2}, time.Duration(0), 0
+	for range 2000 { // 1.6 a second, by chance
+		now += time.Duration(rng.ExpFloat64() / 1.6 * float64(time.Second))
+		if u.over(now) {
+			over++
+		}
+	}
+	if over > 2000/20 {
+		t.Errorf("%d of 2000 requests over a quota that they keep", over)
+	}
+	over = 0
+	for range 2000 { // three times the quota
+		now += time.Duration(rng.ExpFloat64() / 6 * float64(time.Second))
+		if u.over(now) {
+			over++
+		}
+	}
+	if over < 1200 {
+		t.Errorf("%d of 2000 requests over a quota that they pass threefold", over)
+	}
+}
+
 // Worth may be nought: no class is then held by a figure that is none.
 func TestClassOfNoWorthSetsNoStake(t *testing.T) {
 	s := settings()
--- a/state.go
+++ b/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -15,7 +16,7 @@
 // quota is not counted, or a tenant that asks for more than its share would be left none.
 func (t *tenant) over(now time.Duration) bool {
 	t.level, t.at = max(0, t.level-t.rate*(now.Seconds()-t.at)), now.Seconds()
-	if t.level+1 > max(t.rate, 1) {
+	if t.level+1 > max(t.rate+quotaChance*math.Sqrt(t.rate), 1) {
 		return true
 	}
 	t.level++
