--- a/balancer_test.go
+++ b/balancer_test.go
@@ -848,6 +848,36 @@
 	}
 }
 
+// Half of the cold budget is kept for bursts. One that reports use to spare is not near its limit, and gets it whole.
+func TestColdUpstreamWithUseToSpareGetsItsWholeBudget(t *testing.T) {
+	sent := map[float64]int{}
+	for _, use := range []float64{0.3, 0.95} {
+		s := settings()
+		list := fleet(2)
+		list[0].StartedAt = time.Hour
+		b, h := start(t, s, list)
+		b.carry = 20
+		for i := range 300 {
+			now := time.Hour + time.Duration(i)*10*ms
+			b.byID[2].freeAt = now + time.Hour // all the traffic asks for the cold one
+			id := RequestID(i + 1)
+			b.Request(now, Request{ID: id, Class: "read", Budget: time.Second})
+			if r := b.requests[id]; r != nil && r.out > 0 {
+				load := Load{Fields: HasUtil | HasRate, Util: use, Rate: float64(i)}
+				b.Outcome(now, Outcome{ID: id, Upstream: 1, Latency: 5 * ms, Status: OK, Closed: true, Load: load})
+			}
+		}
+		sent[use] = h.count("send")
+		// In 3 s it may be sent its least capacity, which rises from 0.3 to 0.53, times the multiple.
+		if most := 20 * 3 * 0.42 * 3.0; float64(sent[use]) > most {
+			t.Errorf("%d sent at a use of %v, %v fit", sent[use], use, most)
+		}
+	}
+	if sent[0.3] < sent[0.95]*5/4 {
+		t.Errorf("%d sent at a use of 0.3, %d at 0.95", sent[0.3], sent[0.95])
+	}
+}
+
 // Single long answers of heavy-tailed work cut the bounds of thin flows at half use, and a fifth was refused.
 func TestThinFlowIsNotCutAtSpareUse(t *testing.T) {
 	for _, c := range []struct {
