--- a/balancer.go
+++ b/balancer.go
@@ -1,5 +1,5 @@
 // The decisions of clayladder: every rule and every constant is in this file. Its interface (types, events,
-// actions) is in api.go, what it keeps in state.go; docs/design.md gives the reasons.
+// actions) is in api.go, what it keeps in state.go; docs/postmortems.md tells why much of it is as it is.
 
 package clayladder
 
