--- a/api.go
+++ b/api.go
@@ -250,6 +250,7 @@
 	Gone(now time.Duration, id RequestID) // the client left, nothing more is owed
 	Probed(now time.Duration, p ProbeResult)
 	Timer(now time.Duration, token uint64)
+	Maintain(now time.Duration, id UpstreamID, out bool) // operators leave an upstream out, or use it again
 }
 
 var _ Events = (*Balancer)(nil)
--- a/balancer.go
+++ b/balancer.go
@@ -59,7 +59,8 @@
 	}
 	b := &Balancer{s: s, host: host, rng: rand.New(rand.NewPCG(seed, 0)), classes: map[string]*class{},
 		tenants: map[string]*tenant{}, safest: Unsafe, requests: map[RequestID]*request{},
-		byID: map[UpstreamID]*upstream{}, logged: map[string]time.Duration{}, stepAt: now, tightAt: now, doubt: 1}
+		byID: map[UpstreamID]*upstream{}, off: map[UpstreamID]bool{}, logged: map[string]time.Duration{},
+		stepAt: now, tightAt: now, doubt: 1}
 	shortest := s.Classes[0].Aim
 	for _, c := range s.Classes {
 		b.classes[c.Name] = &class{Class: c, stake: 1}
@@ -87,7 +88,7 @@
 
 // maySend alone decides whether r may be sent (again), and whether u may take it.
 func (b *Balancer) maySend(r *request, u *upstream, now time.Duration) bool {
-	if r.done || now >= r.deadline || u.State != Active ||
+	if r.done || now >= r.deadline || !b.open(u) ||
 		len(r.attempts) >= b.s.Limits.MaxAttempts || (r.out > 0 && !b.s.Limits.SecondCopies) {
 		return false
 	}
@@ -149,7 +150,7 @@
 	switch u, legal := b.pick(r, now); {
 	case u != nil:
 		b.send(r, u, now)
-	case (legal || len(r.attempts) == 0) && now < r.sendBy: // most worth first, then the newest
+	case (legal || len(r.attempts) == 0) && now < r.sendBy && !b.barred(): // most worth first, then the newest
 		r.held, b.tightAt = true, now
 		at, _ := slices.BinarySearchFunc(b.held, r.worth, func(x *request, worth float64) int {
 			return cmp.Compare(worth, x.worth)
@@ -194,7 +195,7 @@
 	}
 	soonest, room := b.s.Limits.MaxRetry, 0.0
 	for _, u := range b.near {
-		if u.member && u.State == Active {
+		if u.member && b.open(u) {
 			at := u.freeAt
 			if u.silent {
 				at = u.trialAt
@@ -417,7 +418,7 @@
 func (b *Balancer) reckon(now time.Duration) {
 	var own, all, mine, ring float64
 	for _, u := range b.ups {
-		if u.State == Active {
+		if b.open(u) {
 			ring++
 		}
 	}
@@ -443,6 +444,37 @@
 	return u.weight * u.factor * b.ramp(u, now)
 }
 
+// --- Maintenance ---
+
+// Maintain leaves an upstream out until it is called back, whatever lists say of it. Back from work on it, it
+// is cold from now on, as far as anyone told, and its turn comes at once: what it once was tells nothing.
+func (b *Balancer) Maintain(now time.Duration, id UpstreamID, out bool) {
+	if b.off[id] == out {
+		return
+	}
+	if b.off[id] = out; !out {
+		delete(b.off, id)
+	}
+	u := b.byID[id]
+	if u != nil && !out {
+		b.chill(u, now)
+		u.silent, u.wait, u.backAt, u.factor = false, b.tick, now, 1
+	}
+	if b.gather(now); u != nil && !out {
+		u.due, u.freeAt = b.turn, now
+	}
+	b.dispatch(now)
+}
+
+// open tells whether discovery and the operators let u be used.
+func (b *Balancer) open(u *upstream) bool { return u.State == Active && !b.off[u.ID] }
+
+// barred tells whether operators have left out all that could be used: nothing comes free by waiting.
+func (b *Balancer) barred() bool {
+	return len(b.off) > 0 && !slices.ContainsFunc(b.ups, b.open) &&
+		slices.ContainsFunc(b.ups, func(u *upstream) bool { return u.State == Active })
+}
+
 // --- Eligibility ---
 
 // ramp is the share of its capacity that u is sure to have.
@@ -579,9 +611,9 @@
 // those ahead of which more are held than turns will come: the next try of their clients stands first. A
 // first try that fits nowhere shows that no later one fits.
 func (b *Balancer) dispatch(now time.Duration) {
-	kept, blocked := b.held[:0], false
+	kept, blocked, barred := b.held[:0], false, b.barred()
 	for _, r := range b.held {
-		if !r.done && now >= r.sendBy {
+		if !r.done && (barred || now >= r.sendBy) {
 			b.log(now, "shed", "%d held, no turn free within the aim: refusing", len(b.held))
 			b.giveUp(r, now)
 		} else if !r.done && !blocked {
@@ -645,7 +677,7 @@
 			cutAt: now, freeAt: now, place: mixed(uint64(e.ID))}
 		b.byID[e.ID], b.ups = u, append(b.ups, u)
 	}
-	if e.StartedAt > u.StartedAt { // new, or restarted under the same id
+	if e.StartedAt > max(u.StartedAt, u.backAt) { // new, or restarted under the same id
 		u.silent, u.freeAt = false, now
 		if now-e.StartedAt < b.s.Rules.RampTime {
 			b.chill(u, e.StartedAt)
@@ -664,7 +696,7 @@
 // take a stretch from a place of their own; the golden ratio spreads these evenly for any run of ranks. Cold
 // and silent ones stay in the stretch, which then goes on to as many more.
 func (b *Balancer) gather(now time.Duration) {
-	ring := slices.DeleteFunc(slices.Clone(b.ups), func(u *upstream) bool { return u.State != Active })
+	ring := slices.DeleteFunc(slices.Clone(b.ups), func(u *upstream) bool { return !b.open(u) })
 	slices.SortFunc(ring, func(x, y *upstream) int { return cmp.Compare(x.place, y.place) })
 	n, all := float64(len(ring)), float64(b.s.Balancers)
 	want := max(1, min(n, max(subsetLeast, math.Ceil(n*sharers/max(sharers, all-sharers)))))
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -25,6 +25,7 @@
 	// core busy. Discovery takes a call 200 ms after the last answer for a new watch.
 	watchPause = 100 * time.Millisecond
 	maxListing = 4 << 20
+	idsKept    = 4096 // many times a fleet, and under a megabyte
 )
 
 // listing is a discovery answer: the whole list, or the entries that changed.
@@ -105,6 +106,28 @@
 	delete(n.ids, text)
 }
 
+// ids are the ids that lists have named, the most recent ones: what was never listed is no upstream to an operator.
+type ids struct {
+	known map[string]bool
+	order []string // from next on, the oldest first
+	next  int
+}
+
+func newIDs() *ids { return &ids{known: map[string]bool{}} }
+
+func (x *ids) add(id string) {
+	switch {
+	case x.known[id]:
+		return
+	case len(x.order) < idsKept:
+		x.order = append(x.order, id)
+	default:
+		delete(x.known, x.order[x.next])
+		x.order[x.next], x.next = id, (x.next+1)%idsKept
+	}
+	x.known[id] = true
+}
+
 func plainID(text string) clayladder.UpstreamID {
 	if digits, ok := strings.CutPrefix(text, "s-"); ok {
 		if x, err := strconv.ParseUint(digits, 16, 32); err == nil {
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -110,6 +110,8 @@
 	requests map[clayladder.RequestID]*request
 	open     map[string]bool // the clients' ids of these
 	peers    map[clayladder.UpstreamID]*peer
+	off      map[string]clayladder.UpstreamID // in maintenance, by discovery's ids
+	ids      *ids
 	conns    int     // connections to upstreams, open or opening
 	due      []owing // outcomes that are known but not told: the module is not called while it calls
 	sweepAt  time.Duration
@@ -128,7 +130,7 @@
 		origin: time.Now(), dial: dialer{timeout: c.Links.ConnectTimeout}, settings: c.Settings,
 		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.upstreamConns(),
 		names: newNames(), requests: map[clayladder.RequestID]*request{}, open: map[string]bool{},
-		peers: map[clayladder.UpstreamID]*peer{}}
+		peers: map[clayladder.UpstreamID]*peer{}, off: map[string]clayladder.UpstreamID{}, ids: newIDs()}
 	// The clock is Unix time at the start, going on by the monotonic clock: what discovery dates stands on it as it
 	// is, also from before this process, and a clock that is set does not move it.
 	l.epoch = time.Duration(l.origin.UnixNano())
@@ -308,10 +310,10 @@
 	}
 	if a.drop() {
 		status = clayladder.Moot
-	} else if a.stage.Load() == claimed {
+	} else if a.stage.Load() >= claimed {
 		// An attempt of a request that may be sent again gives up its connection, or it would count as a second copy.
 		until := time.Unix(0, 1)
-		if (a.req.closed || l.now() >= a.req.deadline) && a.peer.lingering < lingerMost && a.peer.state == clayladder.Active {
+		if (a.req.closed || l.now() >= a.req.deadline) && a.peer.lingering < lingerMost && l.usable(a.peer) {
 			until, a.lingers = time.Now().Add(lingerFor), true
 			a.peer.lingering++
 		}
@@ -367,7 +369,7 @@
 		l.alarm(alarm{at: now + timeout, attempt: a})
 	}
 	a.wait = wait
-	if r.closed || wait <= 0 || p.state != clayladder.Active {
+	if r.closed || wait <= 0 || !l.usable(p) {
 		a.drop()
 		l.due = append(l.due, owing{a, clayladder.Moot})
 		return
@@ -484,7 +486,7 @@
 // Probe asks an upstream for its load.
 func (l *loop) Probe(up clayladder.UpstreamID) {
 	p := l.peers[up]
-	if p == nil || p.state != clayladder.Active {
+	if p == nil || !l.usable(p) {
 		return
 	}
 	b := &probe{peer: p, sentAt: l.now(), address: p.address, load: l.settings.Reports != clayladder.ReportNone}
@@ -517,7 +519,7 @@
 	switch {
 	case c == nil:
 		l.conns--
-	case p.state != clayladder.Active || c.RemoteAddr().String() != p.address:
+	case !l.usable(p) || c.RemoteAddr().String() != p.address:
 		l.shut(c)
 	case c.SetDeadline(time.Time{}) != nil: // a time-out may have been set as the answer came
 		l.shut(c)
@@ -564,10 +566,57 @@
 func (l *loop) forget(p *peer) {
 	if p.state == clayladder.Gone && len(p.out) == 0 && l.peers[p.id] == p {
 		delete(l.peers, p.id)
-		l.names.forget(p.name)
+		l.unname(p.name)
 	}
 }
 
+// unname frees the number of an id that is gone. In maintenance it keeps it: the module goes by the number.
+func (l *loop) unname(id string) {
+	if _, off := l.off[id]; !off {
+		l.names.forget(id)
+	}
+}
+
+// usable tells whether something may be sent to p.
+func (l *loop) usable(p *peer) bool {
+	_, off := l.off[p.name]
+	return p.state == clayladder.Active && !off
+}
+
+// maintain leaves an upstream out, or ends that. It tells whether nothing of what the upstream was sent before is
+// still about to be written.
+func (l *loop) maintain(id string, out bool) bool {
+	number, off := l.off[id]
+	if !out {
+		if off {
+			delete(l.off, id)
+			l.balancer.Maintain(l.now(), number, false)
+			if l.peers[number] == nil {
+				l.unname(id)
+			}
+			l.Log("upstream " + id + " is back from maintenance")
+		}
+		return true
+	}
+	if !off {
+		number = l.names.id(id)
+		l.off[id] = number
+		l.Log("upstream " + id + " is left out for maintenance")
+	}
+	written := true
+	if p := l.peers[number]; p != nil {
+		l.Disconnect(number)
+		for a := range p.out {
+			if a.drop() { // it waited for a connection
+				l.due = append(l.due, owing{a, clayladder.Moot})
+			}
+			written = written && a.stage.Load() != claimed
+		}
+	}
+	l.balancer.Maintain(l.now(), number, true)
+	return written
+}
+
 // --- Discovery ---
 
 // reloaded is a new configuration. What it says of discovery holds from now on; the rest is read at a start only.
@@ -628,6 +677,7 @@
 		m := &x.Members[i]
 		u := m.upstream(l.names.id(m.ID))
 		named[u.ID] = true
+		l.ids.add(m.ID)
 		list = append(list, u)
 		l.peer(u, m)
 	}
@@ -656,7 +706,7 @@
 	p, address := l.peers[u.ID], m.HostPort
 	if p == nil {
 		if u.State == clayladder.Gone {
-			l.names.forget(m.ID)
+			l.unname(m.ID)
 			return
 		}
 		p = &peer{id: u.ID, name: m.ID, out: map[*attempt]struct{}{}}
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"sync"
@@ -18,6 +19,8 @@
 	callWait = time.Second
 	// doorConns bounds the calls that are open at once: the few of an operator, and as many that never finish.
 	doorConns = 8
+	// writeWait is the time between two looks whether a request is still on its way to an upstream that is taken out.
+	writeWait = 5 * time.Millisecond
 	doorHead  = 4 << 10 // a call has a short path and no fields that matter
 )
 
@@ -64,15 +67,7 @@
 
 // ServeHTTP answers one call.
 func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	method, do := http.MethodPut, (func(context.Context) error)(nil)
-	switch r.URL.EscapedPath() {
-	case "/control/ready":
-		method, do = http.MethodGet, d.ready
-	case "/control/out-of-service":
-		do = func(ctx context.Context) error { return d.drain(ctx, true) }
-	case "/control/in-service":
-		do = func(ctx context.Context) error { return d.drain(ctx, false) }
-	}
+	method, do := d.call(r.URL.EscapedPath())
 	ctx, cancel := context.WithTimeout(r.Context(), callWait)
 	defer cancel()
 	var err error
@@ -96,6 +91,25 @@
 	}
 }
 
+// call tells what a path asks for; nil: it is no call.
+func (d *door) call(path string) (method string, do func(context.Context) error) {
+	switch path {
+	case "/control/ready":
+		return http.MethodGet, d.ready
+	case "/control/out-of-service":
+		return http.MethodPut, func(ctx context.Context) error { return d.drain(ctx, true) }
+	case "/control/in-service":
+		return http.MethodPut, func(ctx context.Context) error { return d.drain(ctx, false) }
+	}
+	rest, ok := strings.CutPrefix(path, "/control/upstreams/")
+	escaped, verb, _ := strings.Cut(rest, "/")
+	id, err := url.PathUnescape(escaped)
+	if !ok || err != nil || (verb != "offline" && verb != "online") {
+		return "", nil
+	}
+	return http.MethodPut, func(ctx context.Context) error { return d.maintain(ctx, id, verb == "offline") }
+}
+
 // called is a call's part on the loop.
 type called struct {
 	do   func(l *loop)
@@ -141,6 +155,31 @@
 	return d.turn(ctx, func(*loop) {}) // a yes from a balancer whose loop stands still would be none
 }
 
+// maintain leaves an upstream out, or ends that. Its yes waits for what has begun to be written to the upstream.
+func (d *door) maintain(ctx context.Context, id string, out bool) error {
+	for {
+		var known, still bool
+		if err := d.turn(ctx, func(l *loop) {
+			if _, off := l.off[id]; off || l.ids.known[id] {
+				known, still = true, l.maintain(id, out)
+			}
+		}); err != nil {
+			return err
+		}
+		if !known {
+			return &no{http.StatusNotFound, "no list has named this upstream"}
+		}
+		if still {
+			return nil
+		}
+		select {
+		case <-time.After(writeWait):
+		case <-ctx.Done():
+			return fmt.Errorf("a request is still being written there: %w", ctx.Err())
+		}
+	}
+}
+
 // serve answers calls until end.
 func (d *door) serve(l net.Listener) error {
 	if err := d.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/proxy/operator_test.go
+++ b/internal/proxy/operator_test.go
@@ -75,6 +75,13 @@
 		"GET /control/out-of-service HTTP/1.1\r\nHost: x\r\n\r\n":                                           405,
 		"PUT /control/out-of-service HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}":                    400,
 		"PUT /control/out-of-service HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n":    400,
+		"PUT /control/upstreams/s-0000000f/offline HTTP/1.1\r\nHost: x\r\n\r\n":                             404,
+		"PUT /control/upstreams/s-0000000f/online HTTP/1.1\r\nHost: x\r\n\r\n":                              404,
+		"PUT /control/upstreams//offline HTTP/1.1\r\nHost: x\r\n\r\n":                                       404,
+		"PUT /control/upstreams/s-00000001 HTTP/1.1\r\nHost: x\r\n\r\n":                                     404,
+		"PUT /control/upstreams/s-00000001/offline/x HTTP/1.1\r\nHost: x\r\n\r\n":                           404,
+		"DELETE /control/upstreams/s-00000001/offline HTTP/1.1\r\nHost: x\r\n\r\n":                          405,
+		"PUT /control/upstreams/s-%zz/offline HTTP/1.1\r\nHost: x\r\n\r\n":                                  400,
 		"PUT /control/%zz HTTP/1.1\r\nHost: x\r\n\r\n":                                                      400,
 		"\x16\x03\x01 nothing of this kind\r\n\r\n":                                                         400,
 		"PUT /control/out-of-service HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("y", 64<<10) + "\r\n\r\n": 431,
@@ -221,3 +228,49 @@
 	}
 	return resp
 }
+
+// An upstream that operators take out gets nothing more, on kept connections neither, whatever discovery says, until one
+// call back. With none left a request is refused at once.
+func TestMaintenanceOfAnUpstream(t *testing.T) {
+	names := []string{"s-00000001", "odd/id %"}
+	var served [2]*server
+	var members []member
+	for i, id := range names {
+		served[i] = newServer(t, func(c net.Conn, _ *http.Request) bool { return ok(c, id) })
+		members = append(members, up(id, served[i]))
+	}
+	b := newOperated(t, members...)
+	ask := func(n int) map[string]int {
+		got := map[string]int{}
+		for range n {
+			status, body := b.do(t, b.ask("read", ""))
+			if status != 200 {
+				body = fmt.Sprint(status)
+			}
+			got[body]++
+		}
+		return got
+	}
+	if got := ask(20); got[names[0]] == 0 || got[names[1]] == 0 {
+		t.Fatalf("at first: %v", got)
+	}
+	odd := "/control/upstreams/odd%2Fid%20%25/"
+	want(t, "out", b.call(t, "PUT", odd+"offline"), 200)
+	want(t, "out again", b.call(t, "PUT", odd+"offline"), 200)
+	want(t, "left out", ask(20)[names[1]], 0)
+	b.registry.answers <- listing{Revision: 12, Complete: true, Members: members[:1]}
+	b.registry.answers <- listing{Revision: 13, Complete: true, Members: members}
+	b.registry.answers <- listing{Revision: 14} // it has heard of 13 when it asks again
+	want(t, "left out, gone and listed again", ask(20)[names[1]], 0)
+	want(t, "out, all of them", b.call(t, "PUT", "/control/upstreams/s-00000001/offline"), 200)
+	start := time.Now()
+	want(t, "with none left", ask(1)["503"], 1)
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("refused after %v", took)
+	}
+	want(t, "back", b.call(t, "PUT", odd+"online"), 200)
+	want(t, "back", ask(1)[names[1]], 1)
+	want(t, "back again", b.call(t, "PUT", odd+"online"), 200)
+	want(t, "back, all", b.call(t, "PUT", "/control/upstreams/s-00000001/online"), 200)
+	want(t, "back, all", ask(20)["503"], 0)
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -59,8 +59,9 @@
 // what has been claimed for writing counts as sent.
 const (
 	waiting int32 = iota
-	claimed
 	dropped
+	claimed
+	written
 )
 
 // attempt is one send of a request to an upstream.
@@ -120,7 +121,8 @@
 	}
 	// A machine that has gone silent takes bytes until its buffers are full, and then none for ever.
 	c.SetWriteDeadline(time.Now().Add(a.wait))
-	if n, err := c.Write(a.head); err != nil {
+	n, err := c.Write(a.head)
+	if a.stage.Store(written); err != nil {
 		c.Close()
 		if n < len(a.head) { // certain: the last byte never left this process
 			return result{status: clayladder.ConnectFailed}
--- a/rules_test.go
+++ b/rules_test.go
@@ -20,6 +20,7 @@
 	timers   []alarm
 	list     map[UpstreamID]Upstream
 	goneAt   map[UpstreamID]time.Duration
+	off      map[UpstreamID]bool // in maintenance
 	broken   []string
 	most     int                            // sends that a warm upstream has had in a cold-start window
 	sent     map[UpstreamID][]time.Duration // sends of the last cold-start window
@@ -85,6 +86,9 @@
 	if !ok {
 		c.bad("upstream %d was never listed", up)
 	}
+	if c.off[up] {
+		c.bad("maintenance: request %d sent to %d", r.id, up)
+	}
 	if at, gone := c.goneAt[up]; gone && c.now > at+c.s.Rules.DrainGrace {
 		c.bad("rule 3: request %d sent to %d, leaving since %v", r.id, up, at)
 	}
@@ -158,8 +162,8 @@
 // drive feeds random legal events for a while and returns the rules broken.
 func drive(t *testing.T, s Settings, seed uint64, origin time.Duration) (*checker, *recorder) {
 	t.Helper()
-	rng := rand.New(rand.NewPCG(seed, 1))
-	c := &checker{t: t, s: s, now: origin, requests: map[RequestID]*seen{}, list: map[UpstreamID]Upstream{}, goneAt: map[UpstreamID]time.Duration{}, sent: map[UpstreamID][]time.Duration{}}
+	rng, work := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
+	c := &checker{t: t, s: s, now: origin, requests: map[RequestID]*seen{}, list: map[UpstreamID]Upstream{}, goneAt: map[UpstreamID]time.Duration{}, off: map[UpstreamID]bool{}, sent: map[UpstreamID][]time.Duration{}}
 	h := &recorder{hook: c.action}
 	b, err := New(s, seed, c.now, h)
 	if err != nil {
@@ -177,6 +181,9 @@
 		if rng.IntN(60) == 0 {
 			c.change(b, rng)
 		}
+		if work.IntN(200) == 0 { // also of ids that no list names now
+			c.maintain(b, UpstreamID(1+work.IntN(9)), work.IntN(2) == 0)
+		}
 		c.fire(b)
 		c.overdue()
 	}
@@ -273,6 +280,20 @@
 	}
 }
 
+// maintain calls an upstream out or back. What was off is restarted before it comes back, whether lists tell or not.
+func (c *checker) maintain(b *Balancer, id UpstreamID, out bool) {
+	if u, ok := c.list[id]; ok && c.off[id] && !out {
+		u.StartedAt = c.now
+		c.list[id] = u
+	}
+	if out {
+		c.off[id] = true
+	} else {
+		delete(c.off, id)
+	}
+	b.Maintain(c.now, id, out)
+}
+
 func (c *checker) fire(b *Balancer) {
 	due := c.timers
 	c.timers = nil
--- a/service_test.go
+++ b/service_test.go
@@ -404,3 +404,79 @@
 		t.Errorf("stake %v beside a class worth nothing", x)
 	}
 }
+
+// In maintenance an upstream gets nothing, whatever lists say, until the one call back; then its turn comes at once and
+// it counts as cold.
+func TestUpstreamInMaintenanceGetsNothing(t *testing.T) {
+	s := settings()
+	s.Balancers = 1
+	b, h := start(t, s, fleet(3))
+	now, id := time.Hour, RequestID(0)
+	ask := func(n int) map[UpstreamID]int {
+		got := map[UpstreamID]int{}
+		for range n {
+			now, id = now+20*ms, id+1
+			b.Timer(now, tickToken)
+			got[serve(t, b, now, id).ID]++
+		}
+		return got
+	}
+	if got := ask(60); got[2] == 0 {
+		t.Fatalf("at first: %v", got)
+	}
+	b.Maintain(now, 2, true)
+	b.Maintain(now, 2, true)
+	if got := ask(60); got[2] != 0 {
+		t.Errorf("left out: %v", got)
+	}
+	b.Members(now, ListFull, fleet(1)) // it leaves the list and is forgotten
+	ask(120)
+	restarted := fleet(3)
+	restarted[1].StartedAt = now
+	b.Members(now, ListFull, restarted)
+	if got := ask(60); got[2] != 0 || got[3] == 0 {
+		t.Errorf("left out, and back on the list: %v", got)
+	}
+	b.Maintain(now, 2, false)
+	if u := b.byID[2]; !u.cold || u.coldAt != now {
+		t.Errorf("called back: cold %v since %v", u.cold, u.coldAt)
+	}
+	if got := ask(6); got[2] == 0 {
+		t.Errorf("called back: %v", got)
+	}
+	at := b.byID[2].coldAt
+	restarted[1].StartedAt = at - 100*ms // the start that the return stands for, told late
+	b.Members(now, ListDelta, restarted[1:2])
+	if b.byID[2].coldAt != at {
+		t.Error("a start before the return counted as another one")
+	}
+	if h.count("refuse") != 0 {
+		t.Errorf("%d refused beside free upstreams", h.count("refuse"))
+	}
+}
+
+// With every upstream in maintenance requests are refused at once, those that are held too. Without a list they wait.
+func TestAllInMaintenanceRefusesAtOnce(t *testing.T) {
+	b, h := start(t, settings(), fleet(2))
+	now := time.Hour + ms
+	for id := range RequestID(20) {
+		b.Request(now, Request{ID: id + 1, Class: "write", Budget: time.Second})
+	}
+	if len(b.held) == 0 {
+		t.Fatal("none is held")
+	}
+	b.Maintain(now, 1, true)
+	b.Maintain(now, 2, true)
+	if len(b.held) != 0 {
+		t.Errorf("%d are held for nobody", len(b.held))
+	}
+	b.Request(now, Request{ID: 77, Class: "read", Budget: time.Second})
+	if h.count("refuse id=77") != 1 {
+		t.Error("not refused at once")
+	}
+	b.Maintain(now, 2, false)
+	b.Request(now, Request{ID: 78, Class: "read", Budget: time.Second})
+	if h.count("refuse id=78") != 0 {
+		t.Error("refused with an upstream back")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -78,6 +78,7 @@
 	coldAt, trialAt             time.Duration
 	answeredAt, cutAt, probedAt time.Duration
 	freeAt                      time.Duration // its turns are skipped until then
+	backAt                      time.Duration // end of its maintenance
 	wait                        time.Duration // growing wait between trials or failed connects
 	due                         float64       // its next turn, in turns of the whole fleet
 	weight, factor              float64       // size; share left after cuts
@@ -114,18 +115,19 @@
 	safest                  Repeat
 	requests                map[RequestID]*request
 	byID                    map[UpstreamID]*upstream
-	ups                     []*upstream // in order of arrival
-	near                    []*upstream // the subset, and what left it with attempts still out
-	held                    []*request  // by worth, then newest first
-	turn                    float64     // virtual time of the interleave
-	lat, cost               float64     // usual latency, mean cost hint
-	sends, pace             float64     // attempts in this period; a second, of late
-	start                   float64     // an upstream's bound before anything is learnt
-	ceiling                 float64     // the fleet's middle level: what all carry is no one's excess
-	carry                   float64     // work a period that warm upstreams carry for their weight and use
-	least, calm             float64     // those of an upstream, as a good part of the fleet has them
-	doubt                   float64     // part of the overdue attempts that were answered after all
-	part                    float64     // of what the upstreams answer, as far as their reports tell
+	ups                     []*upstream         // in order of arrival
+	near                    []*upstream         // the subset, and what left it with attempts still out
+	off                     map[UpstreamID]bool // in maintenance, listed or not
+	held                    []*request          // by worth, then newest first
+	turn                    float64             // virtual time of the interleave
+	lat, cost               float64             // usual latency, mean cost hint
+	sends, pace             float64             // attempts in this period; a second, of late
+	start                   float64             // an upstream's bound before anything is learnt
+	ceiling                 float64             // the fleet's middle level: what all carry is no one's excess
+	carry                   float64             // work a period that warm upstreams carry for their weight and use
+	least, calm             float64             // those of an upstream, as a good part of the fleet has them
+	doubt                   float64             // part of the overdue attempts that were answered after all
+	part                    float64             // of what the upstreams answer, as far as their reports tell
 	tick, stepAt, watchWait time.Duration
 	tightAt                 time.Duration // last time that no upstream could take a request
 	logged                  map[string]time.Duration
