--- a/cmd/olivearch/main.go
+++ b/cmd/olivearch/main.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -37,11 +36,19 @@
 	// The machine has one core. Collecting later costs memory, which the soft limit bounds, and saves time.
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10)
+	limit := int64(c.MemoryMB) << 20 * 6 / 10
+	debug.SetMemoryLimit(limit)
+	c.Overlap = func(on bool) { // two processes have the memory of one
+		if on {
+			debug.SetMemoryLimit(limit / 2)
+		} else {
+			debug.SetMemoryLimit(limit)
+		}
+	}
 	slog.Info("starting", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Members))
-	listener, err := net.Listen("tcp", c.Listen)
+	listener, err := proxy.Listen(&c)
 	if err != nil {
-		return fmt.Errorf("listening for clients: %w", err)
+		return err
 	}
 	reloads := make(chan proxy.Config, 1)
 	go reload(hangups, reloads)
--- a/cmd/olivearch/main_test.go
+++ b/cmd/olivearch/main_test.go
@@ -159,6 +159,26 @@
 	}
 }
 
+// A descriptor that is no listening socket must end the start: the process would be taken for one that serves.
+func TestInheritedDescriptorThatDoesNotListen(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, fmt.Appendf(nil, config, free(t), free(t)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	cmd := program(t)
+	cmd.ExtraFiles = []*os.File{file}
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_INHERITED_FD=3")
+	out, err := cmd.CombinedOutput()
+	if cmd.ProcessState.ExitCode() != 1 || !strings.Contains(string(out), "RELAY_INHERITED_FD") {
+		t.Errorf("got %v, %s", err, out)
+	}
+}
+
 // The fleet bench loads a library into the balancer: run has to end in one process of a dynamically linked program.
 func TestDeployedProgramIsDynamicallyLinked(t *testing.T) {
 	root := filepath.Join("..", "..")
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -19,18 +19,25 @@
 // maxBody bounds the bodies of requests and answers, as the protocol does.
 const maxBody = 64 << 10
 
+// firstInherited is the first descriptor behind standard input, output and error.
+const firstInherited = 3
+
 // Config is what a balancer is told at its start.
 type Config struct {
 	Name      string
 	Listen    string // host:port for clients
 	Discovery string // host:port of discovery
 	Operator  string // host:port for operators; empty: no door
+	StateDir  string // where what operators called for is kept
+	Inherited int    // descriptor of the clients' listening socket; 0: this process listens itself
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int
 	Known     listing // the upstreams as last held, maybe stale
 	Settings  clayladder.Settings
 	Links     wire.Links
+	// Overlap, if set, is called when another process of this balancer begins or ends to live beside this one.
+	Overlap func(on bool)
 }
 
 // file is the configuration file's form.
@@ -72,6 +79,14 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
+	if c.StateDir = getenv("TMPDIR"); c.StateDir == "" {
+		c.StateDir = os.TempDir()
+	}
+	if fd := getenv("RELAY_INHERITED_FD"); fd != "" {
+		if c.Inherited, err = strconv.Atoi(fd); err != nil || c.Inherited < firstInherited {
+			return Config{}, fmt.Errorf("RELAY_INHERITED_FD: %q is no descriptor of a listening socket", fd)
+		}
+	}
 	return c, nil
 }
 
--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -145,7 +145,7 @@
 	}
 	l := newLoop(t.Context(), &c)
 	l.maxConns = 0
-	if err := l.start(&c); err != nil {
+	if err := l.start(&c, nil); err != nil {
 		t.Fatal(err)
 	}
 	r := &request{at: l.now(), reply: make(chan answer, 1)}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -24,6 +24,13 @@
 	answerMargin = 4 * time.Millisecond
 	// lameDuck is how long connections are still taken after SIGTERM: they go on coming for up to 0.4 s.
 	lameDuck = 450 * time.Millisecond
+	// A platform kills a process no sooner than the longest deadline, taken as longestTaken where it is longer, and
+	// killGrace after SIGTERM. What is taken until then must be answered by then. idleGrace is how long idle connections
+	// are kept after SIGTERM where the listener is another process's by now: most are used and closed behind an answer
+	// in that time, and whatever comes in it has its whole time before the kill.
+	longestTaken = 3 * time.Second
+	killGrace    = 700 * time.Millisecond
+	idleGrace    = 600 * time.Millisecond
 	// firstBytes is how long a new connection has for its request before it may have to give way: also the last
 	// one that is taken after SIGTERM.
 	firstBytes = 50 * time.Millisecond
@@ -97,11 +104,14 @@
 	now      func() time.Duration
 	longest  time.Duration
 	listener net.Listener
-	room     int // connections at most
+	shared   bool // the listener is one that another process takes connections from as well
 
 	mu      sync.Mutex
+	room    int // connections at most
 	clients map[*client]struct{}
 	leaving bool        // told to stop: every answer closes its connection
+	killAt  time.Time   // once leaving: this process must be done by then
+	serving bool        // connections are taken
 	closed  bool        // no more connections are taken, and idle ones go
 	drained bool        // out of service: every answer closes its connection
 	quiet   *time.Timer // closes the idle ones once the front has had its notice
@@ -110,7 +120,7 @@
 
 func newFrontend(c *Config, l net.Listener, post func(event), now func() time.Duration) *frontend {
 	f := &frontend{classes: map[string]clayladder.Class{}, post: post, listener: l, longest: c.longest(), now: now,
-		room: c.clientConns(), clients: map[*client]struct{}{}}
+		shared: c.Inherited != 0, room: c.clientConns(), clients: map[*client]struct{}{}}
 	for _, class := range c.Settings.Classes {
 		f.classes[class.Name] = class
 	}
@@ -119,6 +129,9 @@
 
 // serve takes connections until stop has been called.
 func (f *frontend) serve() error {
+	f.mu.Lock()
+	f.serving = true
+	f.mu.Unlock()
 	for {
 		c, err := f.listener.Accept()
 		switch {
@@ -224,13 +237,33 @@
 	return f.leaving || f.drained
 }
 
+// unwell tells whether /healthz says no. Where another process has the listener the balancer serves on.
+func (f *frontend) unwell() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.drained || (f.leaving && !f.shared)
+}
+
+// serves tells whether connections are taken.
+func (f *frontend) serves() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.serving && !f.leaving
+}
+
 // stop ends service without losing a request: connections that are still on their way are taken, then the
-// listener and idle connections are closed, and what has been taken is answered.
+// listener and idle connections are closed, and what has been taken is answered. A shared listener is left to the other
+// process at once.
 func (f *frontend) stop() {
 	f.mu.Lock()
-	f.leaving = true
+	f.leaving, f.killAt = true, time.Now().Add(min(f.longest, longestTaken)+killGrace-firstBytes)
+	wait := lameDuck
+	if f.shared {
+		wait = idleGrace
+		f.listener.Close()
+	}
 	f.mu.Unlock()
-	time.Sleep(lameDuck)
+	time.Sleep(wait)
 	f.mu.Lock()
 	f.closed = true
 	f.listener.Close()
@@ -238,7 +271,7 @@
 	f.mu.Unlock()
 	time.Sleep(firstBytes)
 	f.mu.Lock()
-	f.close(func(c *client) bool { return c.stage == silent })
+	f.close(func(c *client) bool { return c.stage == silent && !c.begun })
 	f.mu.Unlock()
 	answered := make(chan struct{})
 	go func() { f.gone.Wait(); close(answered) }()
@@ -249,6 +282,16 @@
 	}
 }
 
+// limit bounds the connections. Those over it that hold nothing are closed.
+func (f *frontend) limit(most int) {
+	f.mu.Lock()
+	f.room = most
+	over := len(f.clients) - most
+	f.mu.Unlock()
+	for ; over > 0 && f.evict(); over-- {
+	}
+}
+
 // close closes some of the connections. The caller holds the lock.
 func (f *frontend) close(some func(*client) bool) {
 	for c := range f.clients {
@@ -301,7 +344,7 @@
 // means that the client has gone.
 func (f *frontend) ask(c *client, q *request) (answer, error) {
 	if q == nil {
-		if f.parting() {
+		if f.unwell() {
 			return answer{status: http.StatusServiceUnavailable, body: []byte("out of service\n"), kind: "text/plain"}, nil
 		}
 		turned := make(turn)
@@ -309,6 +352,11 @@
 		<-turned
 		return answer{status: http.StatusOK, body: []byte("ok\n"), kind: "text/plain"}, nil
 	}
+	f.mu.Lock()
+	if f.leaving { // no answer comes after the kill
+		q.Budget = min(q.Budget, max(0, time.Until(f.killAt)))
+	}
+	f.mu.Unlock()
 	f.post(arrived{q})
 	more := make(chan error, 1)
 	c.SetReadDeadline(time.Time{})
--- /dev/null
+++ b/internal/proxy/handover_test.go
@@ -0,0 +1,236 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// inherit returns a descriptor of its own for a socket, as a process inherits one.
+func inherit(t *testing.T, from interface{ File() (*os.File, error) }) int {
+	t.Helper()
+	f, err := from.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	fd, err := syscall.Dup(int(f.Fd()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fd
+}
+
+func TestInheritedDescriptorMustListen(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	packets, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer packets.Close()
+	file, err := os.Open(os.DevNull)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	plain, err := syscall.Dup(int(file.Fd()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for what, fd := range map[string]int{"a connection": inherit(t, c.(*net.TCPConn)), "a file": plain,
+		"a packet socket": inherit(t, packets.(*net.UDPConn)), "nothing": 1 << 20} {
+		if l, err := Listen(&Config{Inherited: fd}); err == nil || !strings.Contains(err.Error(), "RELAY_INHERITED_FD") {
+			t.Errorf("%s: got %v, %v", what, l, err)
+		}
+	}
+	for _, fd := range []string{"x", "-1", "2", "4 "} {
+		if _, err := load(t, configText, map[string]string{"RELAY_INHERITED_FD": fd}); err == nil {
+			t.Errorf("RELAY_INHERITED_FD=%q is taken", fd)
+		}
+	}
+	heir, err := Listen(&Config{Inherited: inherit(t, l.(*net.TCPListener))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	heir.Close()
+	again, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatalf("the socket ended with one of its listeners: %v", err)
+	}
+	again.Close()
+}
+
+func openTestBook(t *testing.T, dir string) *book {
+	t.Helper()
+	b, err := openBook(&Config{Name: "n/0", StateDir: dir, Inherited: 4})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.close)
+	return b
+}
+
+// Whatever stands in the file, a start goes on, and the next order is kept whole.
+func TestSpoiltOrdersHoldUpNoStart(t *testing.T) {
+	for what, text := range map[string]string{"empty": "", "cut short": `{"out_of_service":true,"offl`, "no JSON": "\x00\xff",
+		"another form": `{"offline":{"s-1":true}}`, "endless": strings.Repeat("[", ordersMost+10)} {
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, "olivearch-n%2F0.json"), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		b := openTestBook(t, dir)
+		want(t, what+": drained", b.held.OutOfService, false)
+		want(t, what+": left out", len(b.held.Offline), 0)
+		if _, err := b.change(t.Context(), func(o *orders) { o.Offline = append(o.Offline, "s-1") }); err != nil {
+			t.Errorf("%s: %v", what, err)
+		}
+		if o, _, err := b.read(); err != nil || len(o.Offline) != 1 || o.OutOfService {
+			t.Errorf("%s: then reads as %v, %v", what, o, err)
+		}
+	}
+}
+
+// Two processes of one balancer know of each other, and what one is told the other hears of; calls at both add up.
+func TestOrdersOfTwoProcesses(t *testing.T) {
+	dir := t.TempDir()
+	a := openTestBook(t, dir)
+	want(t, "alone at first", a.alone(), true)
+	b := openTestBook(t, dir)
+	want(t, "alone, the older", a.alone(), false)
+	want(t, "alone, the newer", b.alone(), false)
+	for _, x := range []struct {
+		told *book
+		id   string
+	}{{a, "s-1"}, {b, "s-2"}} {
+		if _, err := x.told.change(t.Context(), func(o *orders) { o.Offline = append(o.Offline, x.id) }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	o, ok := a.news()
+	want(t, "heard", ok, true)
+	want(t, "both", strings.Join(o.Offline, " "), "s-1 s-2")
+	_, ok = a.news()
+	want(t, "heard twice", ok, false)
+	if err := os.WriteFile(b.path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, ok = a.news()
+	want(t, "a spoilt change is news", ok, false)
+	want(t, "held over it", len(a.held.Offline), 2)
+	b.close()
+	want(t, "alone after its end", a.alone(), true)
+	lock, err := tryLock(a.path + ".lock")
+	if err != nil || lock == nil {
+		t.Fatalf("the lock is kept: %v", err)
+	}
+	defer lock.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := a.change(ctx, func(*orders) {}); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("with the lock held: %v", err)
+	}
+}
+
+// succeed starts another process of b, on the same socket and beside it. Its discovery has told nothing yet.
+func (b *balancer) succeed(t *testing.T, l net.Listener, members ...member) *balancer {
+	t.Helper()
+	door := freeAddress(t)
+	heir := newBalancerWith(t, func(c *Config) {
+		c.Operator, c.StateDir, c.Inherited = door, b.config.StateDir, inherit(t, l.(*net.TCPListener))
+	}, members...)
+	heir.url = "http://" + l.Addr().String()
+	return heir
+}
+
+// One process takes over from another under load: no request meets a refused or reset connection, what was taken is
+// answered, and what operators called for holds in both, whichever was told.
+func TestReplacementLosesNothing(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	hold, held := make(chan struct{}), atomic.Bool{}
+	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("X-Hold") != "" {
+			held.Store(true)
+			<-hold
+		}
+		return ok(c, "done")
+	})
+	go func() {
+		for range s.arrivals {
+		}
+	}()
+	worked := newServer(t, func(c net.Conn, _ *http.Request) bool { return ok(c, "never") })
+	members := []member{up("s-00000001", s), up("s-00000002", worked)}
+	first := &balancer{config: Config{StateDir: t.TempDir()}}
+	old := first.succeed(t, l, members...)
+	old.registry.answers <- listing{Revision: 11, Complete: true, Members: members}
+	old.until(t, "ready", func() bool { return old.call(t, "GET", "/control/ready") == 200 })
+	want(t, "out", old.call(t, "PUT", "/control/upstreams/s-00000002/offline"), 200)
+
+	taken := old.connect(t)
+	taken.send(t, old.ask("checkin", "", "X-Hold", "1"))
+	old.until(t, "the request is with the server", held.Load)
+	heir := old.succeed(t, l, members...)
+	heir.until(t, "a door that says no without a list", func() bool { return heir.call(t, "GET", "/control/ready") == 503 })
+	heir.registry.answers <- listing{Revision: 11, Complete: true, Members: members}
+	heir.until(t, "the new one is ready", func() bool { return heir.call(t, "GET", "/control/ready") == 200 })
+	// Told to the new one while both take connections: it holds in both from the yes on.
+	want(t, "drain", heir.call(t, "PUT", "/control/out-of-service"), 200)
+	for range 20 {
+		want(t, "health in the drain", old.health(t), 503)
+	}
+	want(t, "back", heir.call(t, "PUT", "/control/in-service"), 200)
+	for range 20 {
+		want(t, "health", old.health(t), 200)
+	}
+	idle := old.connect(t)
+	idle.send(t, old.ask("read", ""))
+	want(t, "kept", idle.answer(t).Close, false)
+	old.cancel()
+	idle.send(t, old.ask("read", ""))
+	resp := idle.answer(t)
+	want(t, "on a kept connection", resp.StatusCode, 200)
+	for range 50 { // until the old one has closed what it had, and beyond
+		c := heir.connect(t)
+		c.send(t, heir.ask("read", ""))
+		want(t, "on a new connection", c.answer(t).StatusCode, 200)
+	}
+	close(hold)
+	resp = taken.answer(t)
+	want(t, "taken by the old one", resp.StatusCode, 200)
+	if err := <-old.ended; err != nil {
+		t.Error(err)
+	}
+	old.ended <- nil
+	want(t, "health of the new one", heir.health(t), 200)
+	select {
+	case r := <-worked.arrivals:
+		t.Errorf("sent to an upstream in maintenance: %s", r.URL)
+	default:
+	}
+	want(t, "back from maintenance", heir.call(t, "PUT", "/control/upstreams/s-00000002/online"), 200)
+	heir.until(t, "used again", func() bool {
+		_, body := heir.do(t, heir.ask("read", ""))
+		return body == "never"
+	})
+}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -149,11 +149,12 @@
 func (l *loop) list(x listed) { l.lists <- x }
 
 // start makes the Balancer and tells it the upstreams that were known before.
-func (l *loop) start(c *Config) error {
+func (l *loop) start(c *Config, offline []string) error {
 	var err error
 	if l.balancer, err = clayladder.New(c.Settings, c.Seed, l.now(), l); err != nil {
 		return err
 	}
+	l.obey(offline)
 	l.members(clayladder.ListCached, c.Known)
 	if !c.Settings.OnRequest { // lists that are pushed come without the module's asking
 		l.Watch(true)
@@ -398,18 +399,8 @@
 			return c, true
 		}
 	}
-	if l.conns >= l.maxConns {
-		var longest *peer
-		for _, q := range l.peers {
-			if len(q.idle) > 0 && (longest == nil || q.idle[0].idleAt < longest.idle[0].idleAt) {
-				longest = q
-			}
-		}
-		if longest == nil {
-			return nil, false
-		}
-		l.shut(longest.idle[0])
-		longest.idle = slices.Delete(longest.idle, 0, 1)
+	if l.conns >= l.maxConns && !l.shutLongest() {
+		return nil, false
 	}
 	l.conns++
 	return nil, true
@@ -540,6 +531,29 @@
 	}
 }
 
+// limit bounds the connections to upstreams. Idle ones over it are closed.
+func (l *loop) limit(most int) {
+	l.maxConns = most
+	for l.conns > most && l.shutLongest() {
+	}
+}
+
+// shutLongest closes the connection that idles longest; none: false.
+func (l *loop) shutLongest() bool {
+	var longest *peer
+	for _, q := range l.peers {
+		if len(q.idle) > 0 && (longest == nil || q.idle[0].idleAt < longest.idle[0].idleAt) {
+			longest = q
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	l.shut(longest.idle[0])
+	longest.idle = slices.Delete(longest.idle, 0, 1)
+	return true
+}
+
 // sweep closes connections that have idled for long. The least recently used stand first.
 func (l *loop) sweep(now time.Duration) {
 	for _, p := range l.peers {
@@ -583,6 +597,20 @@
 	return p.state == clayladder.Active && !off
 }
 
+// obey goes by what operators have called for, and tells what maintain does.
+func (l *loop) obey(offline []string) bool {
+	written := true
+	for id := range l.off {
+		if !slices.Contains(offline, id) {
+			l.maintain(id, false)
+		}
+	}
+	for _, id := range offline {
+		written = l.maintain(id, true) && written
+	}
+	return written
+}
+
 // maintain leaves an upstream out, or ends that. It tells whether nothing of what the upstream was sent before is
 // still about to be written.
 func (l *loop) maintain(id string, out bool) bool {
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -22,7 +22,7 @@
 	}
 	c.Known = listing{}
 	l := newLoop(t.Context(), &c)
-	if err := l.start(&c); err != nil {
+	if err := l.start(&c, nil); err != nil {
 		t.Fatal(err)
 	}
 	l.Watch(false) // nothing listens there
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -29,13 +29,14 @@
 	server http.Server
 	loop   *loop
 	front  *frontend
+	book   *book
 
 	mu    sync.Mutex
 	conns []net.Conn // open, the oldest first
 }
 
-func newDoor(l *loop, f *frontend) *door {
-	d := &door{loop: l, front: f}
+func newDoor(l *loop, f *frontend, b *book) *door {
+	d := &door{loop: l, front: f, book: b}
 	d.server = http.Server{Handler: d, ReadTimeout: callWait, WriteTimeout: 2 * callWait, MaxHeaderBytes: doorHead,
 		DisableGeneralOptionsHandler: true, ConnState: d.count, ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)}
 	d.server.SetKeepAlivesEnabled(false)
@@ -143,6 +144,9 @@
 	if err := d.turn(ctx, func(l *loop) { missing = l.missing() }); err != nil {
 		return err
 	}
+	if missing == "" && !d.front.serves() {
+		missing = "no connections are taken"
+	}
 	if missing != "" {
 		return &no{http.StatusServiceUnavailable, missing}
 	}
@@ -151,35 +155,109 @@
 
 // drain begins or ends a drain.
 func (d *door) drain(ctx context.Context, on bool) error {
-	d.front.drain(on)
-	return d.turn(ctx, func(*loop) {}) // a yes from a balancer whose loop stands still would be none
+	return d.order(ctx, func(o *orders) { o.OutOfService = on })
 }
 
-// maintain leaves an upstream out, or ends that. Its yes waits for what has begun to be written to the upstream.
+// maintain leaves an upstream out, or ends that.
 func (d *door) maintain(ctx context.Context, id string, out bool) error {
+	var known bool
+	if err := d.turn(ctx, func(l *loop) {
+		_, off := l.off[id]
+		known = off || l.ids.known[id]
+	}); err != nil {
+		return err
+	}
+	if !known {
+		return &no{http.StatusNotFound, "no list has named this upstream"}
+	}
+	return d.order(ctx, func(o *orders) {
+		o.Offline = slices.DeleteFunc(o.Offline, func(x string) bool { return x == id })
+		if out {
+			o.Offline = append(o.Offline, id)
+		}
+	})
+}
+
+// order notes a call and has it obeyed, by the other process too if there is one.
+func (d *door) order(ctx context.Context, by func(*orders)) error {
+	o, err := d.book.change(ctx, by)
+	if err != nil {
+		return err
+	}
+	if err := d.obey(ctx, o); err != nil || d.book.alone() {
+		return err
+	}
+	select {
+	case <-time.After(2*followEvery + writeWait):
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("the other process may not have heard of it: %w", ctx.Err())
+	}
+}
+
+// obey goes by the orders. It waits for what has begun to be written to an upstream that is left out.
+func (d *door) obey(ctx context.Context, o orders) error {
+	d.front.drain(o.OutOfService)
 	for {
-		var known, still bool
-		if err := d.turn(ctx, func(l *loop) {
-			if _, off := l.off[id]; off || l.ids.known[id] {
-				known, still = true, l.maintain(id, out)
-			}
-		}); err != nil {
+		var written bool
+		if err := d.turn(ctx, func(l *loop) { written = l.obey(o.Offline) }); err != nil || written {
 			return err
 		}
-		if !known {
-			return &no{http.StatusNotFound, "no list has named this upstream"}
+		select {
+		case <-time.After(writeWait):
+		case <-ctx.Done():
+			return fmt.Errorf("a request is still being written to an upstream: %w", ctx.Err())
+		}
+	}
+}
+
+// follow goes by what another process was told, and keeps to a part of the limits while there is one. began is closed
+// once this process may take connections: when it is ready, or there is nobody else.
+func (d *door) follow(ctx context.Context, c *Config, began chan<- struct{}) {
+	look := time.NewTicker(followEvery)
+	defer look.Stop()
+	shares, waits := false, true
+	for {
+		if o, ok := d.book.news(); ok {
+			if err := d.obey(ctx, o); err != nil && ctx.Err() == nil {
+				slog.Error("orders of the other process", "err", err)
+			}
+		}
+		if alone := d.book.alone(); alone == shares {
+			shares = !alone
+			d.share(ctx, c, shares)
 		}
-		if still {
-			return nil
+		if waits {
+			var missing string
+			if err := d.turn(ctx, func(l *loop) { missing = l.missing() }); !shares || (err == nil && missing == "") {
+				close(began)
+				waits = false
+			}
 		}
 		select {
-		case <-time.After(writeWait):
+		case <-look.C:
 		case <-ctx.Done():
-			return fmt.Errorf("a request is still being written there: %w", ctx.Err())
+			return
 		}
 	}
 }
 
+// share keeps this process to its half of the limits, or ends that.
+func (d *door) share(ctx context.Context, c *Config, on bool) {
+	parts := 1
+	if on {
+		parts = overlap
+	}
+	slog.Info("descriptors and memory are shared", "processes", parts)
+	d.front.limit(c.clientConns() / parts)
+	if err := d.turn(ctx, func(l *loop) { l.limit(c.upstreamConns() / parts) }); err != nil && ctx.Err() == nil {
+		slog.Error("sharing descriptors", "err", err)
+	}
+	if c.Overlap != nil {
+		c.Overlap(on)
+	}
+}
+
 // serve answers calls until end.
 func (d *door) serve(l net.Listener) error {
 	if err := d.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/proxy/operator_test.go
+++ b/internal/proxy/operator_test.go
@@ -13,17 +13,23 @@
 
 // newOperated is a balancer with a door. discovery has told its list once.
 func newOperated(t *testing.T, members ...member) *balancer {
+	t.Helper()
+	door, dir := freeAddress(t), t.TempDir()
+	b := newBalancerWith(t, func(c *Config) { c.Operator, c.StateDir = door, dir }, members...)
+	b.registry.answers <- listing{Revision: 11, Complete: true, Members: members}
+	b.until(t, "ready", func() bool { return b.call(t, "GET", "/control/ready") == 200 })
+	return b
+}
+
+// freeAddress returns an address on which nothing listens.
+func freeAddress(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	door := l.Addr().String()
-	l.Close()
-	b := newBalancerWith(t, func(c *Config) { c.Operator = door }, members...)
-	b.registry.answers <- listing{Revision: 11, Complete: true, Members: members}
-	b.until(t, "ready", func() bool { return b.call(t, "GET", "/control/ready") == 200 })
-	return b
+	defer l.Close()
+	return l.Addr().String()
 }
 
 // until waits for something that is bound to happen.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,23 +10,47 @@
 func Run(ctx context.Context, c Config, listener net.Listener, reloads <-chan Config) error {
 	life, end := context.WithCancel(context.Background())
 	defer end()
-	l := newLoop(life, &c)
-	if err := l.start(&c); err != nil {
+	operators, err := listenForOperators(c.Operator)
+	if err != nil {
 		return err
 	}
-	go l.run()
+	l := newLoop(life, &c)
 	f := newFrontend(&c, listener, l.post, l.now)
-	served := make(chan error, 2)
-	go func() { served <- f.serve() }()
-	operators, err := listenForOperators(c.Operator)
-	if err != nil {
+	var b *book
+	var held orders
+	if operators != nil { // who can be given no orders keeps none
+		if b, err = openBook(&c); err != nil {
+			return err
+		}
+		defer b.close()
+		held = b.held
+	}
+	if err := l.start(&c, held.Offline); err != nil {
 		return err
 	}
+	f.drain(held.OutOfService)
+	go l.run()
+	began := make(chan struct{})
+	served := make(chan error, 2)
 	if operators != nil {
-		d := newDoor(l, f)
+		d := newDoor(l, f, b)
 		defer d.end()
 		go func() { served <- d.serve(operators) }()
+		if b.shared {
+			go d.follow(life, &c, began)
+		} else {
+			close(began)
+		}
+	} else {
+		close(began)
 	}
+	go func() { // beside an older process this one takes connections once it is ready
+		select {
+		case <-began:
+			served <- f.serve()
+		case <-ctx.Done():
+		}
+	}()
 	for {
 		select {
 		case c := <-reloads:
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -156,7 +156,7 @@
 		t.Fatal(err)
 	}
 	set(&c)
-	l, err := net.Listen("tcp", c.Listen)
+	l, err := Listen(&c)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -764,7 +764,7 @@
 		t.Fatal(err)
 	}
 	l := newLoop(t.Context(), &c)
-	if err := l.start(&c); err != nil {
+	if err := l.start(&c, nil); err != nil {
 		t.Fatal(err)
 	}
 	old := l.discovery
