--- a/api.go
+++ b/api.go
@@ -167,6 +167,7 @@
 	HasKey bool
 	Retry  bool
 	Cost   time.Duration // hint: work on a standard core; 0: unknown
+	Open   bool          // its body still comes and passes to one upstream; Budget counts from Whole
 }
 
 // Status is how an attempt or probe ended.
@@ -216,6 +217,7 @@
 	Latency  time.Duration
 	Status   Status
 	Closed   bool // the request is finished, now or earlier
+	Spent    bool // what was sent of an open request can't be sent again
 	Load     Load
 }
 
@@ -245,7 +247,8 @@
 type Events interface {
 	Members(now time.Duration, mode ListMode, list []Upstream)
 	Request(now time.Duration, r Request)
-	Started(now time.Duration, id RequestID, attempt int) // a stream's answer has begun
+	Whole(now time.Duration, id RequestID) // the last byte of an open request has come
+	Started(now time.Duration, o Outcome)  // an answer has begun that passes on as it comes; its Outcome follows
 	Outcome(now time.Duration, o Outcome)
 	Gone(now time.Duration, id RequestID) // the client left, nothing more is owed
 	Probed(now time.Duration, p ProbeResult)
--- a/balancer.go
+++ b/balancer.go
@@ -88,8 +88,8 @@
 
 // maySend alone decides whether r may be sent (again), and whether u may take it.
 func (b *Balancer) maySend(r *request, u *upstream, now time.Duration) bool {
-	if r.done || now >= r.deadline || !b.open(u) ||
-		len(r.attempts) >= b.s.Limits.MaxAttempts || (r.out > 0 && !b.s.Limits.SecondCopies) {
+	if r.done || r.spent || now >= r.deadline || !b.open(u) ||
+		len(r.attempts) >= b.s.Limits.MaxAttempts || (r.out > 0 && (r.Open || !b.s.Limits.SecondCopies)) {
 		return false
 	}
 	for _, a := range r.attempts {
@@ -115,7 +115,8 @@
 		b.host.Refuse(q.ID, 0) // and it helps as little later
 		return
 	}
-	r := &request{Request: q, class: c, units: cmp.Or(c.lat/b.lat, 1), deadline: now + q.Budget, worth: c.Worth}
+	r := &request{Request: q, class: c, units: cmp.Or(c.lat/b.lat, 1), deadline: now + q.Budget,
+		worth: c.Worth, coming: q.Open}
 	if q.Cost > 0 {
 		follow(&b.cost, float64(q.Cost), smoothing*smoothing)
 		r.units = max(float64(q.Cost)/b.cost, smoothing)
@@ -225,11 +226,24 @@
 	}
 }
 
-// Started marks a request as served by a stream that has begun.
-func (b *Balancer) Started(now time.Duration, id RequestID, n int) {
-	if r := b.requests[id]; r != nil && !r.done && n >= 0 && n < len(r.attempts) {
-		b.answered(r.attempts[n].up, now)
+// Whole begins the time of an open request, and that of the attempt that its body went to.
+func (b *Balancer) Whole(now time.Duration, id RequestID) {
+	if r := b.requests[id]; r != nil && r.coming {
+		r.coming, r.deadline = false, now+r.Budget
+		for _, a := range r.attempts {
+			a.sentAt, a.passed = now, 0
+		}
+	}
+}
+
+// Started takes an answer that has begun: all that it tells of its upstream is known, and its client has it.
+func (b *Balancer) Started(now time.Duration, o Outcome) {
+	if r := b.requests[o.ID]; r != nil && !r.done && o.Attempt >= 0 && o.Attempt < len(r.attempts) {
+		a := r.attempts[o.Attempt]
+		b.learn(a, o.clean(), now)
+		a.begun = true
 		b.finish(r)
+		b.dispatch(now)
 	}
 }
 
@@ -241,20 +255,22 @@
 	}
 	a := r.attempts[o.Attempt]
 	a.ended, a.neverRan = true, o.Status == Full || o.Status == ConnectFailed || o.Status == Moot
-	r.out--
+	r.out, r.spent = r.out-1, r.spent || o.Spent
 	a.up.outs = slices.DeleteFunc(a.up.outs, func(x *attempt) bool { return x == a })
 	for _, x := range a.up.outs {
 		if x.sentAt < a.sentAt && o.Status == OK {
 			x.passed++
 		}
 	}
-	if b.overdue(a, 1, now) && (o.Status == OK || o.Status == Timeout) { // was it lost, or only slow?
+	if !a.begun && b.overdue(a, 1, now) && (o.Status == OK || o.Status == Timeout) { // lost, or only slow?
 		b.doubt *= 1 - smoothing
 		if o.Status == OK {
 			b.doubt += smoothing
 		}
 	}
-	b.learn(a, o.clean(), now)
+	if !a.begun {
+		b.learn(a, o.clean(), now)
+	}
 	switch {
 	case r.done || o.Closed || o.Status == OK:
 		b.finish(r)
@@ -525,7 +541,9 @@
 func (b *Balancer) quiet(u *upstream, now time.Duration) {
 	var first *attempt
 	for _, a := range slices.Clone(u.outs) {
-		if !a.lost && b.overdue(a, 1+lostDoubt*b.doubt, now) {
+		if a.idle() {
+			continue
+		} else if !a.lost && b.overdue(a, 1+lostDoubt*b.doubt, now) {
 			a.lost = true
 			b.log(now, "lost", "upstream %d owes an answer for %v and gave %d to later ones: starting elsewhere", u.ID,
 				now-a.sentAt, a.passed)
@@ -558,7 +576,7 @@
 // rescue starts the request of a, whose answer does not come, elsewhere, if it may run twice and has no other
 // copy out.
 func (b *Balancer) rescue(a *attempt, now time.Duration) {
-	if r := a.r; r.class.Repeat == Unsafe || r.done || r.out > 1 {
+	if r := a.r; r.class.Repeat == Unsafe || r.Open || r.done || r.out > 1 {
 		return
 	} else if v, _ := b.pick(r, now); v != nil {
 		b.send(r, v, now) // a second copy
@@ -576,7 +594,7 @@
 func (b *Balancer) eligible(u *upstream, r *request, now time.Duration) bool {
 	ok := now >= u.freeAt && float64(u.places()) < max(1, math.Round(u.bound))
 	if u.silent { // the safest class goes first as a trial
-		ok = now >= u.trialAt && (r.class.Repeat == b.safest || now >= u.trialAt+u.wait)
+		ok = now >= u.trialAt && !r.Open && (r.class.Repeat == b.safest || now >= u.trialAt+u.wait)
 	}
 	return ok && (b.ramp(u, now) == 1 || b.coldRoom(u, r, now))
 }
--- a/cmd/clayladder-sim/main.go
+++ b/cmd/clayladder-sim/main.go
@@ -72,7 +72,7 @@
 	case wire.Inbound:
 		b.Request(now, e.Request)
 	case wire.Established:
-		b.Started(now, e.Outcome.ID, e.Outcome.Attempt)
+		b.Started(now, e.Outcome)
 	case wire.Verdict:
 		b.Outcome(now, e.Outcome)
 	case wire.Lapsed:
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -16,9 +16,6 @@
 	"clayladder/internal/wire"
 )
 
-// maxBody bounds the bodies of requests and answers, as the protocol does.
-const maxBody = 64 << 10
-
 // firstInherited is the first descriptor behind standard input, output and error.
 const firstInherited = 3
 
@@ -156,6 +153,10 @@
 	return 1 + doorConns
 }
 
+// held is how much of bodies may be held at once: a quarter of the memory, beside the program, its connections and what
+// the collector leaves lying.
+func (c *Config) held() int64 { return int64(c.MemoryMB) << 20 / 4 }
+
 // longest is the longest time that a client waits.
 func (c *Config) longest() time.Duration {
 	var d time.Duration
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"clayladder"
@@ -34,18 +35,20 @@
 	// firstBytes is how long a new connection has for its request before it may have to give way: also the last
 	// one that is taken after SIGTERM.
 	firstBytes = 50 * time.Millisecond
-	// Within 3 s of connecting a client is owed a word or a close. One that says nothing gets it after silentClient,
-	// one that stops in the middle of a request after stalledClient. One that goes on, however slowly, may be a usual
-	// client on a bad line, and has until slowClient.
-	silentClient  = 2500 * time.Millisecond
-	stalledClient = 1200 * time.Millisecond
-	slowClient    = 10 * time.Second
-	slowReader    = 5 * time.Second // over reading its answer
-	idleClient    = 2 * time.Minute
+	// Within 3 s of connecting a client is owed a word or a close. One that says nothing gets it after silentClient. A
+	// request may take headTime, also one that comes in pieces with long pauses, and a body as much more as it would need
+	// at slowestBody bytes a second, half of what the slowest true clients write. Time that this side makes the client
+	// wait does not count, and no client has more than headTime in hand.
+	silentClient = 2500 * time.Millisecond
+	headTime     = 2800 * time.Millisecond
+	slowestBody  = 32 << 10
+	idleClient   = 2 * time.Minute
 	// farewell bounds how long, and farewellMost how much, is read and dropped of a client that has been turned
 	// away: closed at once, the connection would be reset and the answer lost with it.
 	farewell     = 300 * time.Millisecond
 	farewellMost = 256 << 10
+	// longFarewell is for a true client whose answer came before it had sent its whole body: it may look only then.
+	longFarewell = 2 * time.Second
 )
 
 // answer is what a client gets, once.
@@ -54,6 +57,7 @@
 	body       []byte
 	kind       string
 	retryAfter time.Duration
+	relay      *relay // the body, where it passes on as it comes
 }
 
 // stage is what a client's connection is at.
@@ -69,30 +73,44 @@
 // pacer sets a connection's limits of time while a request is read from it.
 type pacer struct {
 	net.Conn
-	until time.Time // for the request; zero: no limits are set here
+	on      bool
+	body    bool          // what is read is a body's
+	left    time.Duration // that may still pass in reads
+	stopped atomic.Bool   // reading ends at once
 }
 
 func (p *pacer) Read(b []byte) (int, error) {
-	if p.until.IsZero() {
+	if !p.on {
 		return p.Conn.Read(b)
 	}
-	limit := time.Now().Add(stalledClient)
-	if p.until.Before(limit) {
-		limit = p.until
+	start := time.Now()
+	p.Conn.SetReadDeadline(start.Add(p.left))
+	if p.stopped.Load() { // after the deadline was set, or that would undo the stop's
+		p.Conn.SetReadDeadline(time.Unix(0, 1))
 	}
-	p.Conn.SetReadDeadline(limit)
 	n, err := p.Conn.Read(b)
+	p.left -= time.Since(start)
+	if p.body {
+		p.left = min(p.left+time.Duration(n)*time.Second/slowestBody, headTime)
+	}
 	if err != nil {
-		p.until = time.Unix(0, 1) // bufio asks again after an error behind half a line: that must not begin a new wait
+		p.left = 0 // bufio asks again after an error behind half a line: that must not begin a new wait
 	}
 	return n, err
 }
 
+// stop ends reading, also one that waits, from any goroutine.
+func (p *pacer) stop() {
+	p.stopped.Store(true)
+	p.Conn.SetReadDeadline(time.Unix(0, 1))
+}
+
 // client is a client's connection. Its stage is the frontend's, under its lock.
 type client struct {
 	*stream
 	pace  *pacer
-	begun bool // bytes of a request have come
+	came  time.Time // when it was accepted
+	begun bool      // bytes of a request have come
 	stage stage
 	since time.Time // of the stage
 }
@@ -100,6 +118,7 @@
 // frontend takes requests from clients, hands them to the loop and writes its answers.
 type frontend struct {
 	classes  map[string]clayladder.Class
+	held     *holder
 	post     func(event)
 	now      func() time.Duration
 	longest  time.Duration
@@ -118,9 +137,10 @@
 	gone    sync.WaitGroup
 }
 
-func newFrontend(c *Config, l net.Listener, post func(event), now func() time.Duration) *frontend {
-	f := &frontend{classes: map[string]clayladder.Class{}, post: post, listener: l, longest: c.longest(), now: now,
-		shared: c.Inherited != 0, room: c.clientConns(), clients: map[*client]struct{}{}}
+func newFrontend(c *Config, listener net.Listener, l *loop) *frontend {
+	f := &frontend{held: &l.held, now: l.now, post: l.post, listener: listener, longest: c.longest(),
+		classes: map[string]clayladder.Class{},
+		shared:  c.Inherited != 0, room: c.clientConns(), clients: map[*client]struct{}{}}
 	for _, class := range c.Settings.Classes {
 		f.classes[class.Name] = class
 	}
@@ -153,7 +173,7 @@
 		time.Sleep(firstBytes / 10)
 	}
 	pace := &pacer{Conn: raw}
-	c := &client{stream: newStream(pace, 4<<10), pace: pace, since: time.Now()}
+	c := &client{stream: newStream(pace, 4<<10), pace: pace, came: time.Now(), since: time.Now()}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.closed {
@@ -273,13 +293,7 @@
 	f.mu.Lock()
 	f.close(func(c *client) bool { return c.stage == silent && !c.begun })
 	f.mu.Unlock()
-	answered := make(chan struct{})
-	go func() { f.gone.Wait(); close(answered) }()
-	select {
-	case <-answered:
-	case <-time.After(f.longest + lameDuck):
-		slog.Warn("clients that did not read their answers are left")
-	}
+	f.gone.Wait() // every connection has an end: its request's deadline, or a peer that stalls
 }
 
 // limit bounds the connections. Those over it that hold nothing are closed.
@@ -309,7 +323,7 @@
 		wait = lameDuck
 	}
 	c.SetReadDeadline(time.Now().Add(wait))
-	for {
+	for first := true; ; first = false {
 		c.bound.N = maxHead
 		if _, err := c.in.Peek(1); err != nil {
 			return
@@ -317,70 +331,215 @@
 		if !f.enter(c, silent) {
 			return
 		}
-		c.pace.until = time.Now().Add(slowClient)
+		c.pace.on, c.pace.body, c.pace.left = true, false, headTime
+		if first { // what is no request is owed its word by the time of its connection
+			c.pace.left -= time.Since(c.came)
+		}
 		q, h, err := f.read(c)
-		c.pace.until = time.Time{}
 		if err != nil {
+			c.pace.on = false
 			f.turnAway(c, err)
 			return
 		}
-		if !f.enter(c, busy) {
+		if !f.enter(c, busy) || !f.serveOne(c, q, h) || !f.enter(c, idle) {
 			return
 		}
-		a, err := f.ask(c, q)
-		if err != nil {
+		c.SetReadDeadline(time.Now().Add(idleClient))
+	}
+}
+
+// serveOne gets the answer to a request and passes it on; q is nil for a question after this balancer's health. It tells
+// whether the connection may serve another one.
+func (f *frontend) serveOne(c *client, q *request, h textproto.MIMEHeader) bool {
+	last := func() bool { return closes(h) || f.parting() }
+	if q == nil {
+		c.pace.on = false
+		a := f.health()
+		closing := last()
+		return c.write(a, closing) == nil && !closing
+	}
+	q.Budget = f.budget(q.Budget)
+	w := f.watch(c, q)
+	f.post(arrived{q})
+	var a answer
+	select {
+	case a = <-q.reply:
+	case err := <-w.ended:
+		if !errors.Is(err, errUnread) { // the client has gone, or what it sends is no request
+			f.post(left{q})
+			if err == nil {
+				err = errAhead
+			}
 			f.turnAway(c, err)
-			return
+			return false
 		}
-		last := closes(h) || f.parting() || a.status == http.StatusConflict
-		if a.status == 0 || c.write(a, last) != nil || last || !f.enter(c, idle) {
-			return
+		w.ended <- err
+		a = <-q.reply
+	}
+	closing := last() || a.status == http.StatusConflict
+	if a.relay != nil {
+		err := c.pass(a.relay, a.kind, closing, w)
+		return w.stop() && w.seen != nil && err == nil && !closing
+	}
+	whole := w.stop()
+	if err := w.seen; whole && err == nil {
+		f.turnAway(c, errAhead)
+		return false
+	}
+	if err := c.write(a, closing || !whole); err != nil {
+		return false
+	}
+	if !whole {
+		c.farewell(longFarewell, maxStream)
+	}
+	return whole && !closing
+}
+
+// watcher reads from a client while its request is served: the rest of an open request's body, and then nothing, which
+// shows the client's leaving. What it sends ahead is none of ours.
+type watcher struct {
+	c     *client
+	q     *request
+	ended chan error
+	seen  error // once stopped
+}
+
+func (f *frontend) watch(c *client, q *request) *watcher {
+	w := &watcher{c: c, q: q, ended: make(chan error, 1)}
+	go func() {
+		if q.message.rest != nil {
+			if err := f.pump(c, q); err != nil {
+				w.ended <- err
+				return
+			}
 		}
-		c.SetReadDeadline(time.Now().Add(idleClient))
+		c.pace.on = false
+		c.SetReadDeadline(time.Time{})
+		if c.pace.stopped.Load() { // it came before the line above
+			c.SetReadDeadline(time.Unix(0, 1))
+		}
+		c.bound.N = maxHead
+		_, err := c.in.Peek(1)
+		w.ended <- err
+	}()
+	return w
+}
+
+// stop ends the watch and tells whether the request has come whole, with nothing behind it that was looked for.
+func (w *watcher) stop() bool {
+	rest := w.q.message.rest
+	if rest != nil {
+		rest.end()
 	}
+	w.c.pace.stop()
+	w.seen = <-w.ended
+	w.c.pace.stopped.Store(false)
+	return rest == nil || rest.came
 }
 
-// ask gets the answer to a request, or to a question after this balancer's health if q is nil. A status of 0
-// means that the client has gone.
-func (f *frontend) ask(c *client, q *request) (answer, error) {
-	if q == nil {
-		if f.unwell() {
-			return answer{status: http.StatusServiceUnavailable, body: []byte("out of service\n"), kind: "text/plain"}, nil
+// pump passes the rest of a body to the attempt that takes it, as fast as that reads.
+func (f *frontend) pump(c *client, q *request) error {
+	rest := q.message.rest
+	p := pieces.Get().(*piece)
+	defer pieces.Put(p)
+	for passed := int64(len(q.message.body)); ; {
+		n, err := rest.body.Read(p.space())
+		if passed += int64(n); passed > maxStream {
+			err = errTooLarge
+		}
+		if n > 0 && (err == nil || err == io.EOF) {
+			if _, err := rest.out.Write(p.space()[:n]); err != nil {
+				return errUnread
+			}
+		}
+		if err == io.EOF {
+			rest.came = true
+			f.post(whole{q, f.now(), f.budget(q.Budget)})
+			rest.out.Close()
+			return nil
+		} else if err != nil {
+			rest.out.CloseWithError(err)
+			return err
 		}
-		turned := make(turn)
-		f.post(turned)
-		<-turned
-		return answer{status: http.StatusOK, body: []byte("ok\n"), kind: "text/plain"}, nil
 	}
+}
+
+// budget is how much of a client's time there is before this process is killed, if it is to be.
+func (f *frontend) budget(of time.Duration) time.Duration {
 	f.mu.Lock()
-	if f.leaving { // no answer comes after the kill
-		q.Budget = min(q.Budget, max(0, time.Until(f.killAt)))
+	defer f.mu.Unlock()
+	if f.leaving {
+		return min(of, max(0, time.Until(f.killAt)))
 	}
-	f.mu.Unlock()
-	f.post(arrived{q})
-	more := make(chan error, 1)
-	c.SetReadDeadline(time.Time{})
-	c.bound.N = maxHead
-	go func() { // sees the client leave; what it sends ahead is none of ours
-		_, err := c.in.Peek(1)
-		more <- err
+	return of
+}
+
+// pass passes an answer on as it comes. Where it breaks off the client sees that it is not whole.
+func (c *client) pass(r *relay, kind string, last bool, w *watcher) error {
+	over := make(chan struct{})
+	defer close(over)
+	go func() {
+		select {
+		case err := <-w.ended:
+			w.ended <- err
+			if err != nil && !errors.Is(err, errUnread) { // the client has gone: nobody is read for
+				r.conn.Close()
+			}
+		case <-over:
+		}
 	}()
-	select {
-	case a := <-q.reply:
-		c.SetReadDeadline(time.Unix(0, 1))
-		if err := <-more; err == nil {
-			return answer{}, errAhead
+	err := c.copy(r, kind, last)
+	r.end <- err
+	return err
+}
+
+func (c *client) copy(r *relay, kind string, last bool) error {
+	inChunks := r.length < 0
+	framing := "Transfer-Encoding: chunked\r\n"
+	if !inChunks {
+		framing = fmt.Sprintf("Content-Length: %d\r\n", r.length)
+	}
+	if err := push(c, head(answer{status: http.StatusOK, kind: kind}, framing, last)); err != nil {
+		return err
+	}
+	p := pieces.Get().(*piece)
+	defer pieces.Put(p)
+	for held := r.held; len(held) > 0; {
+		n := copy(p.space(), held)
+		held = held[n:]
+		if err := push(c, p.framed(n, inChunks)); err != nil {
+			return err
+		}
+	}
+	for {
+		r.conn.SetReadDeadline(time.Now().Add(stalledPeer))
+		n, err := r.body.Read(p.space())
+		if n > 0 {
+			if err := push(c, p.framed(n, inChunks)); err != nil {
+				return err
+			}
 		}
-		return a, nil
-	case err := <-more:
-		f.post(left{q})
-		if err == nil {
-			return answer{}, errAhead
+		if err == io.EOF && inChunks {
+			return push(c, []byte(lastChunk))
+		} else if err == io.EOF {
+			return nil
+		} else if err != nil {
+			return err
 		}
-		return answer{}, nil
 	}
 }
 
+// health answers a question after this balancer's health.
+func (f *frontend) health() answer {
+	if f.unwell() {
+		return answer{status: http.StatusServiceUnavailable, body: []byte("out of service\n"), kind: "text/plain"}
+	}
+	turned := make(turn)
+	f.post(turned)
+	<-turned
+	return answer{status: http.StatusOK, body: []byte("ok\n"), kind: "text/plain"}
+}
+
 // turn is closed when the loop comes to it: it is alive.
 type turn chan struct{}
 
@@ -398,7 +557,10 @@
 	return &refusal{http.StatusBadRequest, fmt.Sprintf(format, args...)}
 }
 
-var errAhead = bad("bytes behind a request that is not answered yet")
+var (
+	errTooLarge = &refusal{http.StatusRequestEntityTooLarge, "the body is over the bound"}
+	errAhead    = bad("bytes behind a request that is not answered yet")
+)
 
 // turnAway answers a client whose request can't be served, and closes the connection: where its next request begins
 // is not certain. One whose connection broke gets no answer.
@@ -411,23 +573,32 @@
 		r = &refusal{http.StatusRequestTimeout, "the request did not come whole in time"}
 	} else if errors.Is(err, errLong) {
 		r.status = http.StatusRequestHeaderFieldsTooLarge
-	} else if !errors.As(err, &r) && !errors.Is(err, errHead) {
+	} else if !errors.As(err, &r) && !errors.Is(err, errHead) && !errors.Is(err, errFrame) {
 		return
 	}
 	if c.write(answer{status: r.status, body: []byte(r.why + "\n"), kind: "text/plain"}, true) != nil {
 		return
 	}
+	c.farewell(farewell, farewellMost)
+}
+
+// farewell reads and drops what a client that has its answer still sends, and waits for its close, within bounds.
+func (c *client) farewell(wait time.Duration, most int64) {
 	if half, ok := c.pace.Conn.(*net.TCPConn); ok {
 		half.CloseWrite()
-		half.SetReadDeadline(time.Now().Add(farewell))
-		io.CopyN(io.Discard, half, farewellMost)
+		half.SetReadDeadline(time.Now().Add(wait))
+		p := pieces.Get().(*piece)
+		defer pieces.Put(p)
+		for n, err := 0, error(nil); err == nil && most > 0; most -= int64(n) {
+			n, err = half.Read(p.space())
+		}
 	}
 }
 
-// write writes an answer. If it fails the client has gone, and can tell that the answer is not whole.
-func (c *client) write(a answer, last bool) error {
+// head renders an answer's head.
+func head(a answer, framing string, last bool) []byte {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", a.status, http.StatusText(a.status), len(a.body))
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n%s", a.status, http.StatusText(a.status), framing)
 	if a.kind != "" {
 		fmt.Fprintf(&b, "Content-Type: %s\r\n", a.kind)
 	}
@@ -438,10 +609,19 @@
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(a.body)
-	c.SetWriteDeadline(time.Now().Add(slowReader))
-	_, err := c.Write(b.Bytes())
-	return err
+	return b.Bytes()
+}
+
+// write writes an answer. If it fails the client has gone, and can tell that the answer is not whole.
+func (c *client) write(a answer, last bool) error {
+	b := head(a, fmt.Sprintf("Content-Length: %d\r\n", len(a.body)), last)
+	if len(a.body) <= pieceSize {
+		return push(c, append(b, a.body...))
+	}
+	if err := push(c, b); err != nil {
+		return err
+	}
+	return push(c, a.body)
 }
 
 // once names the fields of which a second one would leave open which of them counts.
@@ -460,10 +640,6 @@
 	if version != "HTTP/1.1" {
 		return nil, nil, &refusal{http.StatusHTTPVersionNotSupported, "HTTP/1.1 is wanted"}
 	}
-	if len(h["Transfer-Encoding"]) > 0 {
-		// An upstream may go by a Content-Length beside it: the rest of the body would be a request of its own.
-		return nil, nil, &refusal{http.StatusLengthRequired, "a Content-Length and no Transfer-Encoding is wanted"}
-	}
 	for _, name := range once {
 		if len(h[name]) > 1 {
 			return nil, nil, bad("%s stands there more than once", name)
@@ -476,32 +652,72 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if length := h.Get("Content-Length"); length != "" || method == http.MethodPost {
-		n, ok := digits(length)
-		switch {
-		case length == "":
-			return nil, nil, &refusal{http.StatusLengthRequired, "a Content-Length is wanted"}
-		case !ok && strings.Trim(length, "0123456789") != "":
-			return nil, nil, bad("Content-Length is no number")
-		case !ok || n > maxBody:
-			return nil, nil, &refusal{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
-		case n > 0 && method == http.MethodGet:
-			return nil, nil, bad("GET with a body")
-		}
-		if strings.EqualFold(h.Get("Expect"), "100-continue") && c.in.Buffered() == 0 {
-			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // if it fails so does the reading
-		}
-		if q.message.body, err = c.body(n); err != nil {
-			return nil, nil, err
-		}
+	if err := f.readBody(c, q, method, h); err != nil {
+		return nil, nil, err
 	}
-	if c.in.Buffered() > 0 {
+	if q.message.rest == nil && c.in.Buffered() > 0 {
+		f.held.give(q.message.body)
 		return nil, nil, errAhead
 	}
 	q.at = f.now() // it counts from its last byte
 	return q, h, nil
 }
 
+// readBody reads a request's body as far as it can be held. Framing that someone might read in another way is refused:
+// the rest of the body would be a request of its own there.
+func (f *frontend) readBody(c *client, q *request, method string, h textproto.MIMEHeader) error {
+	coded, length := h["Transfer-Encoding"], h.Get("Content-Length")
+	n, ok := digits(length)
+	var body io.Reader
+	switch {
+	case len(coded) > 0 && len(h["Content-Length"]) > 0:
+		return bad("both Content-Length and Transfer-Encoding")
+	case len(coded) == 1 && strings.EqualFold(coded[0], "chunked"):
+		body, n = c.chunks(), 0
+	case len(coded) > 1 || strings.Count(strings.ToLower(strings.Join(coded, ",")), "chunked") > 1:
+		return bad("Transfer-Encoding stands there more than once")
+	case len(coded) > 0:
+		return &refusal{http.StatusNotImplemented, "no Transfer-Encoding but chunked"}
+	case length == "" && method == http.MethodGet:
+		return nil
+	case length == "":
+		return &refusal{http.StatusLengthRequired, "a Content-Length is wanted, or chunks"}
+	case !ok && strings.Trim(length, "0123456789") != "":
+		return bad("Content-Length is no number")
+	case !ok || n > maxStream:
+		return errTooLarge
+	case n > 0 && method == http.MethodGet:
+		return bad("GET with a body")
+	default:
+		body = &sized{c.stream, int64(n)}
+	}
+	if expects := h.Get("Expect"); strings.EqualFold(expects, "100-continue") {
+		if c.in.Buffered() == 0 {
+			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // if it fails so does the reading
+		}
+	} else if expects != "" {
+		return &refusal{http.StatusExpectationFailed, "nothing but 100-continue is expected here"}
+	}
+	c.pace.body = true
+	held, whole, err := f.held.gather(body, always)
+	if err != nil {
+		return err
+	}
+	if q.message.body = held; whole && method == http.MethodGet && len(held) > 0 {
+		f.held.give(held)
+		return bad("GET with a body")
+	} else if whole {
+		return nil
+	}
+	rest := &upload{body: body, length: int64(n)}
+	if len(coded) > 0 {
+		rest.length = -1
+	}
+	rest.in, rest.out = io.Pipe()
+	q.message.rest = rest
+	return nil
+}
+
 // check reads what a request says of itself. A field that is there must be right: a guess at what was meant would be
 // served in its place.
 func (f *frontend) check(method, target string, h textproto.MIMEHeader) (*request, error) {
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -43,6 +43,7 @@
 	at       time.Duration // when its last byte had come
 	reply    chan answer   // holds the one answer
 	deadline time.Duration
+	coming   bool // its body still comes: its time has not begun
 	attempts []*attempt
 	out      int // attempts whose outcome the module has not had
 	closed   bool
@@ -98,6 +99,7 @@
 	discovery *discovery
 	stopWatch context.CancelFunc // nil: the module does not follow discovery
 	dial      dialer
+	held      holder
 	settings  clayladder.Settings
 	idleFor   time.Duration
 	maxConns  int
@@ -134,6 +136,8 @@
 	// The clock is Unix time at the start, going on by the monotonic clock: what discovery dates stands on it as it
 	// is, also from before this process, and a clock that is set does not move it.
 	l.epoch = time.Duration(l.origin.UnixNano())
+	l.held.room.Store(c.held())
+	l.dial.held, l.dial.begin = &l.held, func(a *attempt, r *relay, load clayladder.Load) { l.post(begun{a, r, load}) }
 	l.discovery = newDiscovery(ctx, c.Discovery, l.list)
 	l.discovery.hold(c.Known.Revision)
 	return l
@@ -236,30 +240,93 @@
 	r := e.request
 	if l.open[r.name] { // an upstream could not tell the two apart: the newcomer goes, the first is spared
 		r.closed = true
+		l.held.give(r.message.body)
 		r.reply <- answer{status: http.StatusConflict}
 		return
 	}
 	l.open[r.name] = true
 	l.serial++
 	r.ID = clayladder.RequestID(l.serial) // the module's own: what clients send need not be unique
-	r.deadline = r.at + r.Budget
 	now := l.now()
-	r.Budget = max(0, r.deadline-now)
+	if r.Open = r.message.rest != nil; r.Open {
+		r.coming = true
+	} else {
+		r.deadline = r.at + r.Budget
+		r.Budget = max(0, r.deadline-now)
+		l.alarm(alarm{at: r.deadline, request: r})
+	}
 	l.requests[r.ID] = r
-	l.alarm(alarm{at: r.deadline, request: r})
 	l.balancer.Request(now, r.Request)
 }
 
+// left is how long the client still waits.
+func (r *request) left(now time.Duration) time.Duration {
+	if r.coming {
+		return r.Budget
+	}
+	return r.deadline - now
+}
+
+// whole tells that an open request's last byte has come: its time begins.
+type whole struct {
+	*request
+	at     time.Duration
+	budget time.Duration
+}
+
+func (e whole) apply(l *loop) {
+	r := e.request
+	if r.closed {
+		return
+	}
+	r.coming, r.deadline = false, e.at+min(e.budget, r.Budget)
+	l.alarm(alarm{at: r.deadline, request: r})
+	now := l.now()
+	for _, a := range r.attempts {
+		a.sentAt = now
+	}
+	l.balancer.Whole(now, r.ID)
+}
+
 // left tells that a client has closed its connection.
 type left struct{ *request }
 
 func (e left) apply(l *loop) {
-	if r := e.request; !r.closed {
+	r := e.request
+	if !r.closed {
 		l.close(r)
 		l.balancer.Gone(l.now(), r.ID)
+		return
+	}
+	select { // it may have been given an answer that it does not take
+	case a := <-r.reply:
+		if a.relay != nil {
+			a.relay.end <- errUnwanted
+		}
+	default:
 	}
 }
 
+// begun tells that an answer passes on. It is the client's from here on, and no deadline ends it.
+type begun struct {
+	*attempt
+	*relay
+	load clayladder.Load
+}
+
+func (e begun) apply(l *loop) {
+	a, r := e.attempt, e.attempt.req
+	if a.told || r.closed {
+		e.relay.end <- errUnwanted
+		return
+	}
+	a.begun = true
+	l.answer(r, answer{status: http.StatusOK, kind: e.header.Get("Content-Type"), relay: e.relay})
+	now := l.now()
+	l.balancer.Started(now, clayladder.Outcome{ID: r.ID, Upstream: a.peer.id, Attempt: a.n, Latency: now - a.sentAt,
+		Status: clayladder.OK, Closed: true, Load: e.load})
+}
+
 // finished is the end of an attempt on its connection.
 type finished struct {
 	*attempt
@@ -291,7 +358,7 @@
 	closed := q.closed
 	l.release(q)
 	l.balancer.Outcome(now, clayladder.Outcome{ID: q.ID, Upstream: a.peer.id, Attempt: a.n, Latency: now - a.sentAt,
-		Status: r.status, Closed: closed, Load: r.load})
+		Status: r.status, Closed: closed, Spent: q.message.rest != nil && q.message.rest.taken.Load(), Load: r.load})
 }
 
 // settle tells the outcomes that came up while the module was calling.
@@ -314,18 +381,18 @@
 	} else if a.stage.Load() >= claimed {
 		// An attempt of a request that may be sent again gives up its connection, or it would count as a second copy.
 		until := time.Unix(0, 1)
-		if (a.req.closed || l.now() >= a.req.deadline) && a.peer.lingering < lingerMost && l.usable(a.peer) {
+		if a.sent == nil && (a.req.closed || l.now() >= a.req.deadline) && a.peer.lingering < lingerMost && l.usable(a.peer) {
 			until, a.lingers = time.Now().Add(lingerFor), true
 			a.peer.lingering++
 		}
-		a.conn.SetReadDeadline(until)
+		a.limit(until)
 	}
 	l.tell(a, result{status: status})
 }
 
 // expire ends an attempt whose time is up.
 func (l *loop) expire(a *attempt) {
-	if !a.told {
+	if !a.told && !a.begun {
 		l.end(a, clayladder.Timeout)
 	}
 }
@@ -347,6 +414,9 @@
 // release forgets a request that is closed and has nothing out.
 func (l *loop) release(r *request) {
 	if r.closed && r.out == 0 {
+		if _, held := l.requests[r.ID]; held {
+			l.held.give(r.message.body)
+		}
 		delete(l.requests, r.ID)
 		delete(l.open, r.name)
 	}
@@ -364,7 +434,10 @@
 	now := l.now()
 	a := &attempt{req: r, n: len(r.attempts), peer: p, sentAt: now, address: p.address}
 	r.attempts, r.out = append(r.attempts, a), r.out+1
-	wait := r.deadline - now
+	if r.message.rest != nil {
+		a.sent = make(chan struct{})
+	}
+	wait := r.left(now)
 	if timeout > 0 && timeout < wait {
 		wait = timeout
 		l.alarm(alarm{at: now + timeout, attempt: a})
@@ -383,7 +456,7 @@
 	}
 	p.out[a] = struct{}{}
 	go func() {
-		a.head = r.message.bytes(a.wait)
+		a.head, a.tail = r.message.bytes(a.wait)
 		res := l.dial.run(a)
 		l.post(finished{a, res})
 	}()
@@ -420,7 +493,7 @@
 func (l *loop) Fail(id clayladder.RequestID) {
 	if r := l.requests[id]; r != nil {
 		status := http.StatusBadGateway
-		if l.now() >= r.deadline {
+		if !r.coming && l.now() >= r.deadline {
 			status = http.StatusGatewayTimeout
 		}
 		l.answer(r, answer{status: status})
@@ -429,7 +502,7 @@
 
 // Cancel stops waiting for an attempt.
 func (l *loop) Cancel(id clayladder.RequestID, n int) {
-	if r := l.requests[id]; r != nil && n >= 0 && n < len(r.attempts) {
+	if r := l.requests[id]; r != nil && n >= 0 && n < len(r.attempts) && !r.attempts[n].begun {
 		l.due = append(l.due, owing{r.attempts[n], clayladder.Cancelled})
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -8,6 +8,11 @@
 // Run serves the clients of listener until ctx ends, and then until all that was taken is answered. Each
 // configuration from reloads takes the place of the one before.
 func Run(ctx context.Context, c Config, listener net.Listener, reloads <-chan Config) error {
+	return run(ctx, c, listener, reloads, func(*loop) {})
+}
+
+// run is Run; made is told of the loop before it turns.
+func run(ctx context.Context, c Config, listener net.Listener, reloads <-chan Config, made func(*loop)) error {
 	life, end := context.WithCancel(context.Background())
 	defer end()
 	operators, err := listenForOperators(c.Operator)
@@ -15,7 +20,8 @@
 		return err
 	}
 	l := newLoop(life, &c)
-	f := newFrontend(&c, listener, l.post, l.now)
+	made(l)
+	f := newFrontend(&c, listener, l)
 	var b *book
 	var held orders
 	if operators != nil { // who can be given no orders keeps none
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -21,6 +22,17 @@
 // closes the connection of an attempt that is given up, and does not tell whether
 // the last byte was written.
 
+const (
+	// holdFor is how long an answer of unknown length is held from its head on: a small one is whole by then, and its
+	// attempt can be made again if it breaks, while the first bytes of a large one are what its client waits for.
+	holdFor = 50 * time.Millisecond
+	// sentWait is how long an answer to an open request waits for the write of the request's last byte to return.
+	sentWait = 20 * time.Millisecond
+	// stalledPeer is how long a peer may take nothing, or give nothing, of a body that passes on. It is far over what a
+	// slow line takes for a piece.
+	stalledPeer = 10 * time.Second
+)
+
 // maxUtil bounds the use that a load report can mean: all cores busy is 1, give or take its noise.
 const maxUtil = 2
 
@@ -73,12 +85,51 @@
 	address string
 	wait    time.Duration
 	head    []byte // the message as it goes on the wire
+	tail    []byte // and what of it goes behind that
 	stage   atomic.Int32
-	conn    *conn // read by the loop only once the attempt is claimed
-	told    bool  // the loop: the module has had its outcome
-	lingers bool  // the loop: it is left to its connection for the late answer
+	until   atomic.Int64  // reading ends then, Unix ns; 0: the loop has set no limit
+	sent    chan struct{} // closed when the rest of an open request has been written, or will not be
+	whole   atomic.Bool   // and it was written whole
+	cut     atomic.Bool   // it was not, and that was the client's doing
+	conn    *conn         // read by the loop only once the attempt is claimed
+	told    bool          // the loop: the module has had its outcome
+	lingers bool          // the loop: it is left to its connection for the late answer
+	begun   bool          // the loop: its answer passes on
+}
+
+// limit ends the reading of the answer at a time.
+func (a *attempt) limit(until time.Time) {
+	a.until.Store(until.UnixNano())
+	a.conn.SetReadDeadline(until)
+}
+
+// awaits waits for bytes of the answer until a time; false: none came by then.
+func (a *attempt) awaits(until time.Time) bool {
+	if a.conn.in.Buffered() > 0 {
+		return true
+	}
+	a.conn.SetReadDeadline(until)
+	_, err := a.conn.in.Peek(1)
+	a.conn.SetReadDeadline(time.Time{})
+	if at := a.until.Load(); at != 0 { // the loop has set a limit meanwhile
+		a.conn.SetReadDeadline(time.Unix(0, at))
+	}
+	timeout := net.Error(nil)
+	return !errors.As(err, &timeout) || !timeout.Timeout()
 }
 
+// relay is an answer that passes on as it comes. The client's side reads it off the upstream's connection and then says
+// how that ended.
+type relay struct {
+	reply
+	conn *conn
+	held []byte // its first bytes
+	end  chan error
+}
+
+// errUnwanted says that nobody waits for an answer any more.
+var errUnwanted = errors.New("nobody waits for the answer")
+
 // drop keeps an attempt that has not begun to be written from being sent.
 func (a *attempt) drop() bool { return a.stage.CompareAndSwap(waiting, dropped) }
 
@@ -91,8 +142,12 @@
 	conn   *conn
 }
 
-// dialer opens connections to upstreams.
-type dialer struct{ timeout time.Duration }
+// dialer opens connections to upstreams and makes attempts on them.
+type dialer struct {
+	timeout time.Duration
+	held    *holder
+	begin   func(*attempt, *relay, clayladder.Load) // tells of an answer that passes on
+}
 
 // connect returns the idle connection if it still stands, or a new one.
 func (d dialer) connect(idle *conn, address string) (*conn, error) {
@@ -121,39 +176,153 @@
 	}
 	// A machine that has gone silent takes bytes until its buffers are full, and then none for ever.
 	c.SetWriteDeadline(time.Now().Add(a.wait))
-	n, err := c.Write(a.head)
+	err = c.send(a.head, a.tail)
 	if a.stage.Store(written); err != nil {
 		c.Close()
-		if n < len(a.head) { // certain: the last byte never left this process
+		if errors.Is(err, errPart) || a.sent != nil { // certain: the last byte never left this process
 			return result{status: clayladder.ConnectFailed}
 		}
 		return result{status: clayladder.Reset}
 	}
-	return c.take()
+	if a.sent != nil {
+		go a.upload(a.req.message.rest)
+	}
+	r := d.take(a)
+	if a.sent != nil {
+		if a.req.message.rest.end(); !a.whole.Load() && r.status == clayladder.Reset {
+			r.status = clayladder.ConnectFailed // its last byte never left this process
+			if a.cut.Load() {
+				r.status = clayladder.Moot // which says nothing of the upstream
+			}
+		}
+	}
+	return r
 }
 
-// take reads an attempt's answer. One that is spoilt has run, and its connection is of no further use.
-func (c *conn) take() result {
-	status, h, body, err := c.answer()
-	if err != nil {
-		c.Close()
-		for _, spoilt := range []error{errHead, errLong, errFrame, errLarge} {
-			if errors.Is(err, spoilt) {
-				return result{status: clayladder.Error}
+// errPart says that the other side can't have had a message's last byte.
+var errPart = errors.New("a part of the message was written")
+
+// send writes a message, of which the tail may be empty.
+func (c *conn) send(head, tail []byte) error {
+	for i, part := range [][]byte{head, tail} {
+		if len(part) == 0 {
+			continue
+		}
+		if n, err := c.Write(part); err != nil && (n < len(part) || (i == 0 && len(tail) > 0)) {
+			return fmt.Errorf("%w: %w", errPart, err)
+		} else if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// upload passes the rest of an open request on. Where that breaks off so does the connection: what was written is no
+// request then, and the upstream must not take it for one.
+func (a *attempt) upload(u *upload) {
+	defer close(a.sent)
+	u.taken.Store(true)
+	p := pieces.Get().(*piece)
+	defer pieces.Put(p)
+	inChunks := u.length < 0
+	if inChunks && len(a.tail) > 0 {
+		io.WriteString(a.conn, "\r\n") // behind what was held; an error shows in the next write
+	}
+	for {
+		n, err := u.in.Read(p.space())
+		if n > 0 && push(a.conn, p.framed(n, inChunks)) != nil {
+			break // an answer may have come before the upstream closed: the reading shows
+		}
+		if err == io.EOF {
+			if inChunks && push(a.conn, []byte(lastChunk)) != nil {
+				break
 			}
+			a.whole.Store(true)
+			return
+		} else if err != nil {
+			if !errors.Is(err, io.ErrClosedPipe) { // not because the answer has come
+				a.cut.Store(true)
+				a.conn.Close()
+			}
+			break
+		}
+	}
+	u.end()
+}
+
+// push writes all of b, for as long as the other side takes some of it now and then.
+func push(c net.Conn, b []byte) error {
+	for {
+		c.SetWriteDeadline(time.Now().Add(stalledPeer))
+		n, err := c.Write(b)
+		timeout := net.Error(nil)
+		if b = b[n:]; err == nil || n == 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
+			return err
 		}
-		return result{status: clayladder.Reset}
 	}
-	r := result{status: clayladder.Error, load: loadOf(h["X-Load"])}
+}
+
+// uploaded tells whether all of the request has been written, once its answer begins. If not the answer is an early
+// one, and the rest is not wanted.
+func (a *attempt) uploaded() bool {
+	if a.sent == nil {
+		return true
+	}
+	select {
+	case <-a.sent:
+	case <-time.After(sentWait): // the last write may just be returning
+		a.req.message.rest.end()
+		a.conn.SetWriteDeadline(time.Unix(0, 1))
+		<-a.sent
+	}
+	return a.whole.Load()
+}
+
+// take reads an attempt's answer. One that is spoilt has run, and its connection is of no further use. One that does not
+// fit where answers are held passes on from here.
+func (d dialer) take(a *attempt) result {
+	c := a.conn
+	m, err := c.reply()
+	if err != nil {
+		c.Close()
+		return result{status: broken(err)}
+	}
+	if !a.uploaded() {
+		m.ends = true
+	}
+	r := result{status: clayladder.Error, load: loadOf(m.header["X-Load"])}
 	switch {
-	case status == http.StatusOK:
-		r.status, r.body, r.kind = clayladder.OK, body, h.Get("Content-Type")
-	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
-		h.Get("X-Not-Run") == "1": // without that mark it may have run
+	case m.status == http.StatusOK:
+		r.status, r.kind = clayladder.OK, m.header.Get("Content-Type")
+	case (m.status == http.StatusServiceUnavailable || m.status == http.StatusGatewayTimeout) &&
+		m.header.Get("X-Not-Run") == "1": // without that mark it may have run
 		r.status = clayladder.Full
 	}
+	begins := time.Now().Add(holdFor)
+	body, whole, err := d.held.gather(m.body, func() bool {
+		return m.length >= 0 && m.length <= maxBody || m.length < 0 && a.awaits(begins)
+	})
+	switch {
+	case err != nil:
+		c.Close()
+		return result{status: broken(err)}
+	case whole:
+		d.held.give(body)
+		r.body = body
+	case r.status != clayladder.OK || a.req == nil: // too long to be read to its end for nobody
+		d.held.give(body)
+		r.status, m.ends = clayladder.Error, true
+	default:
+		rl := &relay{reply: m, conn: c, held: body, end: make(chan error, 1)}
+		d.begin(a, rl, r.load)
+		err := <-rl.end
+		if d.held.give(body); err != nil {
+			c.Close()
+			return result{status: clayladder.Reset}
+		}
+	}
 	// Bytes behind the answer are a second copy or noise: the next request's answer would be read from them.
-	if closes(h) || c.in.Buffered() > 0 {
+	if m.ends || c.in.Buffered() > 0 {
 		c.Close()
 	} else {
 		r.conn = c
@@ -161,6 +330,16 @@
 	return r
 }
 
+// broken tells an answer that can't be read from one that never came.
+func broken(err error) clayladder.Status {
+	for _, spoilt := range []error{errHead, errLong, errFrame, errLarge} {
+		if errors.Is(err, spoilt) {
+			return clayladder.Error
+		}
+	}
+	return clayladder.Reset
+}
+
 // loadOf reads a load report: name=value pairs. One that can't be read in full, or stands there more than once, tells
 // nothing: a half of it must not move shares.
 func loadOf(reports []string) clayladder.Load {
@@ -199,7 +378,7 @@
 		c.Close()
 		return result{status: clayladder.ConnectFailed}
 	}
-	r = c.take()
+	r = d.take(&attempt{conn: c})
 	if p.load && r.status == clayladder.OK {
 		if l := loadOf([]string{strings.TrimSpace(string(r.body))}); l.Fields != 0 {
 			r.load = l
--- a/service_test.go
+++ b/service_test.go
@@ -480,3 +480,83 @@
 		t.Error("refused with an upstream back")
 	}
 }
+
+// While the body of an open request comes nothing is worked on: it takes no place, its upstream does not count as
+// silent, and its time begins at the last byte.
+func TestOpenRequestTakesNoPlaceUntilItIsWhole(t *testing.T) {
+	s := settings()
+	s.Balancers = 1
+	b, h := start(t, s, fleet(1))
+	now := time.Hour
+	u := b.byID[1]
+	for id := range RequestID(20) { // far more than there are places
+		b.Request(now, Request{ID: id + 1, Class: "write", Budget: time.Second, Open: true})
+	}
+	if len(u.outs) != 20 || u.places() != 0 {
+		t.Fatalf("%d sent, %d places taken", len(u.outs), u.places())
+	}
+	for range 400 { // 4 s: far over the deadline and any patience
+		now += 10 * ms
+		b.Timer(now, tickToken)
+	}
+	if h.count("refuse")+h.count("fail")+h.count("cancel") != 0 || u.silent {
+		t.Fatalf("while it came: silent %v, %v", u.silent, h.lines)
+	}
+	b.Whole(now, 1)
+	if u.places() != 1 {
+		t.Errorf("once whole it takes %d places", u.places())
+	}
+	b.Outcome(now+40*ms, Outcome{ID: 1, Upstream: 1, Latency: 40 * ms, Status: OK, Closed: true})
+	if got := time.Duration(u.lat); got != 40*ms {
+		t.Errorf("latency %v", got)
+	}
+	b.Whole(now, 2)
+	if r := b.requests[2]; r.deadline != now+time.Second || r.attempts[0].sentAt != now {
+		t.Errorf("deadline %v after its last byte", r.deadline-now)
+	}
+}
+
+// An open request goes to a second upstream only while its body can still be sent from the start, and never to two.
+func TestOpenRequestIsSentOnce(t *testing.T) {
+	s := settings()
+	s.Limits.SecondCopies = true
+	b, h := start(t, s, fleet(4))
+	now := time.Hour
+	b.Request(now, Request{ID: 1, Class: "read", Budget: time.Second, Open: true})
+	first := b.requests[1].attempts[0]
+	b.rescue(first, now)
+	if h.count("send id=1 ") != 1 {
+		t.Fatal("a second copy of a body that comes once")
+	}
+	b.Outcome(now, Outcome{ID: 1, Upstream: first.up.ID, Status: ConnectFailed})
+	if h.count("send id=1 ") != 2 {
+		t.Fatal("not sent elsewhere, though nothing of it was used up")
+	}
+	b.Outcome(now, Outcome{ID: 1, Upstream: b.requests[1].attempts[1].up.ID, Attempt: 1, Status: ConnectFailed, Spent: true})
+	if h.count("send id=1 ") != 2 || h.count("refuse id=1 ") != 1 {
+		t.Errorf("used up, then: %v", h.lines)
+	}
+}
+
+// An answer that has begun tells all of its upstream at once and frees the place; its long end teaches nothing.
+func TestBegunAnswerFreesItsPlace(t *testing.T) {
+	b, h := start(t, settings(), fleet(1))
+	now := time.Hour + 40*ms
+	b.Request(time.Hour, Request{ID: 1, Class: "read", Budget: time.Second})
+	u := b.byID[1]
+	b.Started(now, Outcome{ID: 1, Upstream: 1, Latency: 40 * ms, Status: OK, Closed: true, Load: Load{Fields: HasUtil, Util: 0.5}})
+	if u.places() != 0 || u.readings != 1 || time.Duration(u.lat) != 40*ms {
+		t.Errorf("%d places, %d readings, latency %v", u.places(), u.readings, time.Duration(u.lat))
+	}
+	for range 500 {
+		now += 10 * ms
+		b.Timer(now, tickToken)
+	}
+	if u.silent || h.count("refuse")+h.count("fail")+h.count("cancel") != 0 {
+		t.Errorf("while it passes: silent %v, %v", u.silent, h.lines)
+	}
+	b.Outcome(now, Outcome{ID: 1, Upstream: 1, Latency: 5 * time.Second, Status: Reset, Closed: true})
+	if time.Duration(u.lat) != 40*ms || len(b.requests) != 0 || len(u.outs) != 0 {
+		t.Errorf("at its end: latency %v, %d requests, %d out", time.Duration(u.lat), len(b.requests), len(u.outs))
+	}
+}
--- a/state.go
+++ b/state.go
@@ -55,6 +55,7 @@
 	ended, neverRan bool
 	passed          int  // later attempts at its upstream that were answered before it
 	lost            bool // its answer is not expected any more
+	begun           bool // its answer passes on
 }
 
 // request is an entry of the ledger; it stays until its last attempt has ended.
@@ -67,6 +68,7 @@
 	out              int
 	done, held       bool
 	over             bool // its tenant's quota
+	coming, spent    bool // its body still comes; is gone
 }
 
 // upstream is what this balancer knows of one server.
@@ -95,10 +97,13 @@
 	carried, work, spent        float64    // work sent this period; its mean; leaky count while cold
 }
 
-// places counts the attempts out that hold a place: all but the lost ones.
+// idle tells that no answer of a's upstream is awaited: the request still comes, or the answer already passes on.
+func (a *attempt) idle() bool { return a.begun || a.r.coming }
+
+// places counts the attempts out that hold a place: all but the lost ones and those at which nothing is worked.
 func (u *upstream) places() (n int) {
 	for _, a := range u.outs {
-		if !a.lost {
+		if !a.lost && !a.idle() {
 			n++
 		}
 	}
