--- a/balancer.go
+++ b/balancer.go
@@ -396,7 +396,11 @@
 	var work, size float64
 	for _, u := range b.near {
 		b.integrate(u, now)
-		u.work, u.carried = u.work+smoothing*(u.carried-u.work), 0
+		if u.carried > 0 || u.periods > 0 { // a mean of the few there are, an empty one before them: care
+			u.periods++
+			u.work += max(smoothing, 1/(u.periods+1)) * (u.carried - u.work)
+		}
+		u.carried = 0
 		if u.member && !u.cold && !u.silent && u.work > 0 {
 			work, size = work+u.work/min(max(cmp.Or(u.mean, 1), levelFloor), 1), size+u.weight
 		}
--- a/service_test.go
+++ b/service_test.go
@@ -560,3 +560,33 @@
 		t.Errorf("at its end: latency %v, %d requests, %d out", time.Duration(u.lat), len(b.requests), len(u.outs))
 	}
 }
+
+// A balancer that has just started knows after a second or two what a warm upstream carries, so that a cold one gets
+// its part: a mean that rises from nothing once left it idle for ten.
+func TestYoungBalancerKnowsWhatAWarmUpstreamCarries(t *testing.T) {
+	s := settings()
+	s.Balancers = 1
+	b, _ := start(t, s, fleet(2))
+	now, id := time.Hour, RequestID(0)
+	serveFor := func(periods int) {
+		for range periods * 50 { // 25 a second for each of the two
+			now, id = now+20*ms, id+1
+			b.Timer(now, tickToken)
+			b.Request(now, Request{ID: id, Class: "write", Budget: time.Second})
+			a := b.requests[id].attempts[0]
+			b.Outcome(now, Outcome{ID: id, Upstream: a.up.ID, Latency: 50 * ms, Status: OK, Closed: true,
+				Load: Load{Fields: HasUtil, Util: 0.5 + 0.001*float64(id%7)}})
+		}
+	}
+	for range 4 { // it waits for its turn to serve
+		now += bandPeriod
+		b.Timer(now, tickToken)
+	}
+	if b.carry != 0 {
+		t.Fatalf("carry %v before anything was sent", b.carry)
+	}
+	serveFor(3)
+	if full := 25 / 0.5; b.carry < 0.6*full || b.carry > 1.2*full {
+		t.Errorf("after 3 s carry is %.1f, want about %.0f", b.carry, full)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -95,6 +95,7 @@
 	bound, most                 float64    // attempts that may be out at once; its top this period
 	answers                     float64    // in this period
 	carried, work, spent        float64    // work sent this period; its mean; leaky count while cold
+	periods                     float64    // in the mean of the work
 }
 
 // idle tells that no answer of a's upstream is awaited: the request still comes, or the answer already passes on.
