--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -192,6 +192,7 @@
 	old.until(t, "the request is with the server", held.Load)
 	heir := old.succeed(t, l, members...)
 	heir.until(t, "a door that says no without a list", func() bool { return heir.call(t, "GET", "/control/ready") == 503 })
+	want(t, "it asks for the whole list, which is told at once", <-heir.registry.calls, "")
 	heir.registry.answers <- listing{Revision: 11, Complete: true, Members: members}
 	heir.until(t, "the new one is ready", func() bool { return heir.call(t, "GET", "/control/ready") == 200 })
 	// Told to the new one while both take connections: it holds in both from the yes on.
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -139,7 +139,9 @@
 	l.held.room.Store(c.held())
 	l.dial.held, l.dial.begin = &l.held, func(a *attempt, r *relay, load clayladder.Load) { l.post(begun{a, r, load}) }
 	l.discovery = newDiscovery(ctx, c.Discovery, l.list)
-	l.discovery.hold(c.Known.Revision)
+	if c.Inherited == 0 { // else this process is ready once it has the list, and a watch answers only when that changes
+		l.discovery.hold(c.Known.Revision)
+	}
 	return l
 }
 
