--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -139,11 +139,14 @@
 	return c, nil
 }
 
-// Descriptors: half are for clients, who hold a third at most for requests, and a reserve is for the listener,
-// discovery, the operators' door and what is being closed. The rest is for upstreams.
+// Descriptors: clients hold a third at most for requests, so upstreams need no more. A reserve is for the listener,
+// discovery, the operators' door and what is being closed. The rest is for clients, whose connections are more than
+// their requests.
 
-func (c *Config) clientConns() int   { return c.Sockets / 2 }
-func (c *Config) upstreamConns() int { return c.Sockets/2 - max(c.Sockets/16, 16) - c.doorConns() }
+func (c *Config) upstreamConns() int { return c.Sockets / 3 }
+func (c *Config) clientConns() int {
+	return c.Sockets - c.upstreamConns() - max(c.Sockets/16, 16) - c.doorConns()
+}
 
 // doorConns is what the door may hold: its listener and its calls.
 func (c *Config) doorConns() int {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -35,6 +35,7 @@
 	// firstBytes is how long a new connection has for its request before it may have to give way: also the last
 	// one that is taken after SIGTERM.
 	firstBytes = 50 * time.Millisecond
+	mute       = 5 * firstBytes
 	// Within 3 s of connecting a client is owed a word or a close. One that says nothing gets it after silentClient. A
 	// request may take headTime, also one that comes in pieces with long pauses, and a body as much more as it would need
 	// at slowestBody bytes a second, half of what the slowest true clients write. Time that this side makes the client
@@ -77,6 +78,7 @@
 	body    bool          // what is read is a body's
 	left    time.Duration // that may still pass in reads
 	stopped atomic.Bool   // reading ends at once
+	moved   atomic.Int64  // when bytes last came, Unix ns
 }
 
 func (p *pacer) Read(b []byte) (int, error) {
@@ -89,6 +91,9 @@
 		p.Conn.SetReadDeadline(time.Unix(0, 1))
 	}
 	n, err := p.Conn.Read(b)
+	if n > 0 {
+		p.moved.Store(time.Now().UnixNano())
+	}
 	p.left -= time.Since(start)
 	if p.body {
 		p.left = min(p.left+time.Duration(n)*time.Second/slowestBody, headTime)
@@ -190,22 +195,23 @@
 	})
 }
 
-// evict tells whether there is room for one more connection. Where there is none it closes the one that has been
-// silent for longest, or else idle for longest, never one with a request in it. Descriptors that run out would be
-// missed by upstreams and discovery too.
+// evict tells whether there is room for one more connection. Where there is none it closes the one that is likeliest to
+// be of no use, never one with a request in it. Descriptors that run out would be missed by upstreams and discovery too.
 func (f *frontend) evict() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.clients) < f.room {
 		return true
 	}
+	now := time.Now()
 	var victim *client
+	var most time.Duration
 	for c := range f.clients {
-		if c.stage == busy || c.stage == evicted || (c.stage == silent && time.Since(c.since) < firstBytes) {
+		if c.stage == busy || c.stage == evicted {
 			continue
 		}
-		if victim == nil || c.stage < victim.stage || (c.stage == victim.stage && c.since.Before(victim.since)) {
-			victim = c
+		if still := c.still(now); (c.stage == idle || still >= firstBytes) && (victim == nil || still > most) {
+			victim, most = c, still
 		}
 	}
 	if victim != nil {
@@ -216,6 +222,20 @@
 	return victim != nil
 }
 
+// still is how long c has made no progress. A true client writes at once, if slowly: one that has not begun by the time
+// of mute counts as still for longer than any that has.
+func (c *client) still(now time.Time) time.Duration {
+	last := c.since
+	if moved := time.Unix(0, c.pace.moved.Load()); moved.After(last) {
+		last = moved
+	}
+	still := now.Sub(last)
+	if c.stage == silent && !c.begun && still >= mute {
+		still += idleClient
+	}
+	return still
+}
+
 // enter moves c to a stage. It fails if c has been closed meanwhile, or is to go.
 func (f *frontend) enter(c *client, s stage) bool {
 	f.mu.Lock()
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -388,3 +388,66 @@
 type errReader struct{}
 
 func (errReader) Read([]byte) (int, error) { return 0, errFrame }
+
+// In a crowd that takes every place a request that comes slowly is served, and who asked once and stays gives way to it.
+func TestSlowWriterOutlastsTheCrowd(t *testing.T) {
+	t.Parallel()
+	s := newServer(t, okAll)
+	b := newBalancerWith(t, func(c *Config) { c.Sockets = 64 }, up("s-00000001", s))
+	slow := b.connect(t)
+	request := checkin("X-Request-Id: slow\r\nContent-Length: 4\r\n") + "body"
+	for len(request) > 0 {
+		n := min(len(request), 10)
+		if _, err := io.WriteString(slow, request[:n]); err != nil {
+			t.Fatal(err)
+		}
+		request = request[n:]
+		for i := range b.config.clientConns() / 4 { // some ask once, some stop within a request, some say nothing
+			c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			switch i % 3 {
+			case 0:
+				b.ask("read", "").Write(c)
+			case 1:
+				io.WriteString(c, "POST /checkin HT")
+			}
+		}
+		time.Sleep(headTime / 20) // a slow line is what is tried
+	}
+	want(t, "status", slow.answer(t).StatusCode, 200)
+}
+
+// Who stands still longest gives way, a mute connection before any that has begun, and never one that is served.
+func TestWhoGivesWay(t *testing.T) {
+	now := time.Now()
+	f := &frontend{clients: map[*client]struct{}{}}
+	add := func(at stage, begun bool, since, moved time.Duration) *client {
+		near, far := net.Pipe()
+		t.Cleanup(func() { near.Close(); far.Close() })
+		pace := &pacer{Conn: near}
+		pace.moved.Store(now.Add(-moved).UnixNano())
+		c := &client{stream: newStream(pace, 16), pace: pace, stage: at, begun: begun, since: now.Add(-since)}
+		f.clients[c] = struct{}{}
+		return c
+	}
+	served := add(busy, true, time.Hour, time.Hour)
+	fresh := add(silent, false, 0, time.Hour)
+	order := []*client{
+		add(silent, false, 2*mute, time.Hour),
+		add(idle, false, 20*time.Second, 20*time.Second),
+		add(silent, true, 3*time.Second, 2*time.Second),
+		add(idle, false, time.Second, time.Second),
+		add(silent, true, 3*time.Second, 100*time.Millisecond), // slow, and still coming
+	}
+	for i, c := range order {
+		if !f.evict() || c.stage != evicted {
+			t.Fatalf("number %d did not give way", i)
+		}
+	}
+	if f.evict() || served.stage != busy || fresh.stage != silent {
+		t.Error("one that is served, or that has just come, gave way")
+	}
+}
