--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -235,3 +235,35 @@
 		return body == "never"
 	})
 }
+
+// A balancer that was drained before its process was replaced is drained after it, and yet ready; SIGTERM ends it as
+// any other.
+func TestDrainOutlivesTheProcess(t *testing.T) {
+	s := newServer(t, okAll)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	members := []member{up("s-00000001", s)}
+	first := &balancer{config: Config{StateDir: t.TempDir()}}
+	if err := os.WriteFile(filepath.Join(first.config.StateDir, "olivearch-n0.json"),
+		[]byte(`{"out_of_service":true,"offline":["s-0000000f"],"later":"fields are passed over"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	b := first.succeed(t, l, members...)
+	b.registry.answers <- listing{Revision: 11, Complete: true, Members: members}
+	b.until(t, "ready", func() bool { return b.call(t, "GET", "/control/ready") == 200 })
+	want(t, "health", b.health(t), 503)
+	want(t, "back, of one that no list names now", b.call(t, "PUT", "/control/upstreams/s-0000000f/online"), 200)
+	c := b.connect(t)
+	c.send(t, b.ask("read", ""))
+	resp := c.answer(t)
+	want(t, "served in the drain", resp.StatusCode, 200)
+	want(t, "closes behind it", resp.Close, true)
+	b.cancel()
+	if err := <-b.ended; err != nil {
+		t.Error(err)
+	}
+	b.ended <- nil
+}
