--- a/balancer.go
+++ b/balancer.go
@@ -452,7 +452,11 @@
 		u.answers = 0
 	}
 	if all > 0 {
-		follow(&b.part, min(own/all, 1), partWeight)
+		weight := partWeight
+		if own/all > b.part { // another balancer has gone: what it leaves idle is wanted now
+			weight *= 2
+		}
+		follow(&b.part, min(own/all, 1), weight)
 		for _, t := range b.tenants {
 			t.rate = t.quota * max(b.part*min(mine/max(ring, 1), 1), 1/float64(b.s.Balancers))
 		}
--- a/service_test.go
+++ b/service_test.go
@@ -590,3 +590,33 @@
 		t.Errorf("after 3 s carry is %.1f, want about %.0f", b.carry, full)
 	}
 }
+
+// When the other balancer is drained this one has all of the traffic at once, and all of the servers within three
+// periods; when it comes back its part is given up no faster than before.
+func TestPartThatGrowsIsFollowedFaster(t *testing.T) {
+	b, _ := start(t, settings(), fleet(4))
+	now := time.Hour
+	period := func(others float64) {
+		now += bandPeriod
+		for _, u := range b.ups {
+			u.answers, u.last.Rate = 20, 20+others
+		}
+		b.step(now)
+	}
+	for range 40 {
+		period(20)
+	}
+	for range 3 {
+		period(0)
+	}
+	if b.part < 0.95 {
+		t.Errorf("3 s after the other one has gone the part is %.2f", b.part)
+	}
+	for range 40 {
+		period(0)
+	}
+	period(20)
+	if b.part < 0.8 {
+		t.Errorf("1 s after it is back the part is %.2f", b.part)
+	}
+}
