--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -35,7 +35,9 @@
 	// firstBytes is how long a new connection has for its request before it may have to give way: also the last
 	// one that is taken after SIGTERM.
 	firstBytes = 50 * time.Millisecond
-	mute       = 5 * firstBytes
+	// mute is how long a connection may say nothing before it gives way first: a true client has begun by then, also
+	// behind a full accept queue.
+	mute = 5 * firstBytes
 	// Within 3 s of connecting a client is owed a word or a close. One that says nothing gets it after silentClient. A
 	// request may take headTime, also one that comes in pieces with long pauses, and a body as much more as it would need
 	// at slowestBody bytes a second, half of what the slowest true clients write. Time that this side makes the client
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -44,7 +44,7 @@
 	return &server{addr: l.Addr().String()}
 }
 
-// head reads a request's head.
+// readHead reads a request's head and leaves its body.
 func readHead(c net.Conn) (*http.Request, error) {
 	return http.ReadRequest(bufio.NewReaderSize(c, 16))
 }
@@ -118,14 +118,14 @@
 	t.Parallel()
 	const size = 24 << 20
 	var given atomic.Int64
-	go1 := make(chan struct{})
+	release := make(chan struct{})
 	s := rawServer(t, func(c net.Conn) {
 		r, err := readHead(c)
 		if err != nil {
 			return
 		}
 		if r.Method == http.MethodPost {
-			<-go1
+			<-release
 			return
 		}
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
@@ -161,7 +161,7 @@
 			t.Errorf("%s: %d bytes were taken with nobody reading", what, n.Load())
 		}
 	}
-	close(go1)
+	close(release)
 }
 
 // The first bytes of a long answer are passed on while the rest is still to come, and the deadline no longer ends it.
