--- a/internal/proxy/operator_test.go
+++ b/internal/proxy/operator_test.go
@@ -21,10 +21,10 @@
 	return b
 }
 
-// freeAddress returns an address on which nothing listens.
+// freeAddress returns an address on which nothing listens, on an IP that no other test takes ports of.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.77.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
