Keep what ended a connection's reading: a reset is no end of an answer

Without a length and without a reset nothing was wrong.

Cause: attempt.awaits looks for bytes with Peek, and bufio hands the error to whoever looks and forgets it. The system tells of a reset only once as well, so the read behind it found a plain end, which ends an answer of no length: whole, and served. Ruled out: second answers that come late (none on split), the cut of large answers (all were small ones).

Mend: what a connection is read from keeps the error that ended it; a time-out ends nothing. The new test forces the reset into the look and fails without it: served, "ab".

--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -48,9 +48,27 @@
 	bound io.LimitedReader // what may still be read off the connection
 }
 
+// source is where a connection's bytes come from. The system tells only once that a connection was reset, and whoever
+// reads on finds a plain end, which would end an answer of no length. So what ended the reading stays.
+type source struct {
+	net.Conn
+	err error
+}
+
+func (s *source) Read(b []byte) (int, error) {
+	if s.err != nil {
+		return 0, s.err
+	}
+	n, err := s.Conn.Read(b)
+	if timeout := net.Error(nil); !errors.As(err, &timeout) || !timeout.Timeout() {
+		s.err = err
+	}
+	return n, err
+}
+
 func newStream(c net.Conn, buffer int) *stream {
 	s := &stream{Conn: c}
-	s.bound.R = c
+	s.bound.R = &source{Conn: c}
 	s.in = bufio.NewReaderSize(&s.bound, buffer)
 	s.text = textproto.NewReader(s.in)
 	return s
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -374,6 +375,43 @@
 	}
 }
 
+// readConn is a connection that tells of each read before it waits for bytes.
+type readConn struct {
+	net.Conn
+	reads chan struct{}
+}
+
+func (c readConn) Read(b []byte) (int, error) {
+	c.reads <- struct{}{}
+	return c.Conn.Read(b)
+}
+
+func (c readConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
+
+// A reset is no end of an answer that has no length, also where it comes while nothing but the next bytes is awaited:
+// the system tells of it once, and what is read behind it looks like an end.
+func TestResetIsNoEnd(t *testing.T) {
+	reads := make(chan struct{}, 10)
+	s := newServer(t, func(c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nab")
+		<-reads // the one that takes these bytes
+		<-reads // and the one that waits for more
+		c.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	open := func(network, address string, timeout time.Duration) (net.Conn, error) {
+		c, err := net.DialTimeout(network, address, timeout)
+		return readConn{c, reads}, err
+	}
+	m := message{line: "POST /x", host: "x"}
+	r := dialer{open: open, timeout: time.Second, held: newHolder()}.run(&attempt{peer: &peer{}, address: s.addr,
+		head: first(m.bytes(time.Second)), wait: time.Second})
+	want(t, "status", r.status, clayladder.Reset)
+	want(t, "body", string(r.body), "")
+}
+
 func TestConnectFailedAndMootWriteNothing(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
