Give up an attempt for its upstream before the module is told of its end

An attempt whose time is up, or that the module cancels, had its read deadline set, and its reader closed the connection when it came to its turn. The module was told first and may send the request again at once: on an idle connection that was written before the first one was closed, a second copy where none is allowed.

Line: loop.end. Ruled out: unsafe classes, which are never sent again after a time-out. Option not taken: closing the connection there, since Close waits for its reader and the loop waits for nobody; the protocol takes an end of the sending for a give-up as well.

TestGivenUpBeforeTheNextIsWritten holds the reader up and fails without the change: "2 written" comes first.

--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -385,13 +385,13 @@
 	if a.drop() {
 		status = clayladder.Moot
 	} else if a.stage.Load() >= claimed {
-		// An attempt of a request that may be sent again gives up its connection, or it would count as a second copy.
-		until := time.Unix(0, 1)
 		if a.sent == nil && (a.req.closed || l.now() >= a.req.deadline) && a.peer.lingering < lingerMost && l.usable(a.peer) {
-			until, a.lingers = time.Now().Add(lingerFor), true
+			a.lingers = true
 			a.peer.lingering++
+			a.limit(time.Now().Add(lingerFor))
+		} else { // before the module is told: what it sends next would count as a second copy
+			a.giveUp()
 		}
-		a.limit(until)
 	}
 	l.tell(a, result{status: status})
 }
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -321,6 +321,60 @@
 	}
 }
 
+// toldConn tells of what goes to the upstream, in order, and holds up who reads its end.
+type toldConn struct {
+	*net.TCPConn
+	name string
+	told chan string
+	hold chan struct{}
+}
+
+func (c toldConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if err != nil {
+		<-c.hold
+	}
+	return n, err
+}
+
+func (c toldConn) Write(b []byte) (int, error) {
+	c.told <- c.name + " written"
+	return c.TCPConn.Write(b)
+}
+
+func (c toldConn) CloseWrite() error {
+	c.told <- c.name + " given up"
+	return c.TCPConn.CloseWrite()
+}
+
+// An attempt that is given up is over for its upstream before the next one is written, however late its connection's
+// reader comes to close it: two out at once are a second copy.
+func TestGivenUpBeforeTheNextIsWritten(t *testing.T) {
+	hold := make(chan struct{})
+	s := newServer(t, func(c net.Conn, r *http.Request) bool { <-hold; return false })
+	h := newHand(t)
+	told, n := make(chan string, 10), 0
+	h.dial.open = func(network, address string, timeout time.Duration) (net.Conn, error) {
+		c, err := net.DialTimeout(network, address, timeout)
+		if err != nil {
+			return nil, err
+		}
+		n++ // one after another
+		return toldConn{c.(*net.TCPConn), fmt.Sprint(n), told, hold}, nil
+	}
+	t.Cleanup(func() { close(hold) })
+	h.list(20, up("s-00000001", s))
+	r := h.begin("read", "1", 4*time.Second)
+	want(t, "first", <-told, "1 written")
+	<-s.arrivals
+	h.end(r.attempts[0], clayladder.Timeout)
+	if len(r.attempts) == 1 { // the module waits for a turn
+		h.Send(r.ID, r.attempts[0].peer.id, 0, 0)
+	}
+	want(t, "next", <-told, "1 given up")
+	want(t, "then", <-told, "2 written")
+}
+
 // A watch that has fallen silent is opened anew at once, and so is the first one after discovery has moved: their news
 // soon counts as told. What fails is asked again when the module says so.
 func TestNewWatchAtOnce(t *testing.T) {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -112,6 +112,15 @@
 	a.conn.SetReadDeadline(until)
 }
 
+// giveUp ends an attempt that has been claimed, for the upstream at once: its connection is closed by who reads it, and
+// that may be later than another attempt is written.
+func (a *attempt) giveUp() {
+	if half, ok := a.conn.Conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite() // if it fails there is no connection any more
+	}
+	a.limit(time.Unix(0, 1))
+}
+
 // awaits waits for bytes of the answer until a time; false: none came by then.
 func (a *attempt) awaits(until time.Time) bool {
 	if a.conn.in.Buffered() > 0 {
