Hear all lists that have come before an event and before each alarm

The loop looked for one list before an event, and let all alarms that were due go off without a look: a list with a drain that had come by then was heard after the sends that held requests got in between.

Lines: loop.run and loop.ring. Ruled out: what waits for a connection (a list drops it), and what is claimed already (counts as sent before). TestListsGoBeforeWhatIsNotSent puts two lists and an event, or an alarm, before the loop at once and fails without the change: one attempt where none is wanted.

--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -197,11 +197,7 @@
 			e.apply(l)
 			l.settle()
 		case e := <-l.events:
-			if len(l.lists) > 0 {
-				l.hear(<-l.lists)
-			}
-			e.apply(l)
-			l.settle()
+			l.handle(e)
 		case <-clock.C:
 		case <-l.ctx.Done():
 			return
@@ -209,9 +205,24 @@
 	}
 }
 
-// ring lets the alarms go off that are due.
+// handle takes an event, behind the lists that have come before it is handled.
+func (l *loop) handle(e event) {
+	l.hearAll()
+	e.apply(l)
+	l.settle()
+}
+
+// hearAll takes the lists that have come.
+func (l *loop) hearAll() {
+	for len(l.lists) > 0 { // only the loop takes from it
+		l.hear(<-l.lists)
+	}
+}
+
+// ring lets the alarms go off that are due. Each may send something, so each waits for the lists that have come.
 func (l *loop) ring() {
 	for len(l.alarms) > 0 && l.alarms[0].at <= l.now() {
+		l.hearAll()
 		switch a := heap.Pop(&l.alarms).(alarm); {
 		case a.attempt != nil:
 			l.expire(a.attempt)
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -321,6 +321,34 @@
 	}
 }
 
+// A list that has come goes before whatever is sent after it, each of several, and also where alarms that are due follow
+// one another.
+func TestListsGoBeforeWhatIsNotSent(t *testing.T) {
+	for name, turn := range map[string]func(h *hand, r *request){
+		"an event": func(h *hand, r *request) { h.handle(arrived{r}) },
+		"an alarm": func(h *hand, r *request) {
+			h.alarm(alarm{at: h.now(), request: &request{attempts: []*attempt{{told: true}}}})
+			h.ring()
+			arrived{r}.apply(h.loop)
+			h.settle()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t, okAll)
+			h := newHand(t)
+			one := up("s-00000001", s)
+			h.list(20, one)
+			h.lists <- listed{from: h.discovery, listing: listing{Revision: 21}}
+			h.lists <- listed{from: h.discovery, listing: listing{Revision: 22, Members: []member{draining(one)}}}
+			r := &request{name: "1", at: h.now(), reply: make(chan answer, 1)}
+			r.Class, r.Budget = "checkin", time.Second
+			r.message = message{line: "POST /checkin", host: "x", header: http.Header{}}
+			turn(h, r)
+			want(t, "attempts", len(r.attempts), 0)
+		})
+	}
+}
+
 // toldConn tells of what goes to the upstream, in order, and holds up who reads its end.
 type toldConn struct {
 	*net.TCPConn
