Look whether a client is still there before its request is handed on, and at the write

The loop heard of a client's leaving as an event, behind all others; and a connection that had stood in the accept queue with a whole request and its end behind it was read, handed on and written before anybody looked at the end.

Lines: frontend.serveOne, dialer.claim. Ruled out: what is held in the module or waits for a connection once the loop knows. Mend: one look without waiting before the request is handed on, and a mark on the request that the claim looks at. TestNothingIsSentForWhoHasLeft fails without either part (one request handed on; one written).

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -380,6 +380,16 @@
 		closing := last()
 		return c.write(a, closing) == nil && !closing
 	}
+	if q.message.rest == nil { // its client may have left while the request waited to be read
+		c.SetReadDeadline(time.Time{}) // the request's
+		if err := quiet(c.pace.Conn); err != nil {
+			f.held.give(q.message.body)
+			if errors.Is(err, errUnasked) {
+				f.turnAway(c, errAhead)
+			}
+			return false
+		}
+	}
 	q.Budget = f.budget(q.Budget)
 	w := f.watch(c, q)
 	f.post(arrived{q})
@@ -388,6 +398,7 @@
 	case a = <-q.reply:
 	case err := <-w.ended:
 		if !errors.Is(err, errUnread) { // the client has gone, or what it sends is no request
+			q.gone.Store(true)
 			f.post(left{q})
 			if err == nil {
 				err = errAhead
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"reflect"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"clayladder"
@@ -44,6 +45,7 @@
 	message  message
 	at       time.Duration // when its last byte had come
 	reply    chan answer   // holds the one answer
+	gone     atomic.Bool   // its client has gone: what is not written yet is not sent on, before the loop hears of it
 	deadline time.Duration
 	coming   bool // its body still comes: its time has not begun
 	attempts []*attempt
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -287,6 +287,48 @@
 	}
 }
 
+// A client that has left before its request is read, or before the loop hears of it, is sent on nothing for.
+func TestNothingIsSentForWhoHasLeft(t *testing.T) {
+	t.Run("before it is read", func(t *testing.T) {
+		c, err := load(t, configText, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := newHand(t)
+		f := newFrontend(&c, l, h.loop)
+		raw, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(raw, checkin("X-Request-Id: 1\r\nContent-Length: 0\r\n"))
+		raw.Close()
+		taken, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.take(taken)
+		f.gone.Wait()
+		want(t, "requests handed on", len(h.events), 0)
+		want(t, "room given back", h.held.room.Load(), c.held())
+	})
+	t.Run("before the loop hears of it", func(t *testing.T) {
+		s := newServer(t, okAll)
+		h := newHand(t)
+		begun, let := h.lateConns()
+		h.list(20, up("s-00000001", s))
+		r := h.begin("read", "1", time.Second)
+		<-begun
+		r.gone.Store(true)
+		close(let)
+		h.next()
+		want(t, "requests written", len(s.arrivals), 0)
+	})
+}
+
 // A connection that the upstream closed while it idled is seen before anything is written to it.
 func TestStaleConnectionIsNotUsed(t *testing.T) {
 	closed := make(chan struct{}, 2)
@@ -303,7 +345,7 @@
 	}
 	run := func(c *conn) result {
 		m := message{line: "POST /x", host: "x"}
-		return d.run(&attempt{peer: &peer{}, address: s.addr, conn: c, message: &m, wait: time.Second})
+		return d.run(&attempt{req: &request{}, peer: &peer{}, address: s.addr, conn: c, message: &m, wait: time.Second})
 	}
 	r := run(c)
 	want(t, "first", r.status, clayladder.OK)
@@ -363,7 +405,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := newServer(t, c.answer)
 			m := message{line: "POST /x", host: "x", body: []byte("b")}
-			r := dialer{open: net.DialTimeout, timeout: time.Second, held: newHolder()}.run(&attempt{peer: &peer{}, address: s.addr, message: &m, wait: time.Second})
+			r := dialer{open: net.DialTimeout, timeout: time.Second, held: newHolder()}.run(&attempt{req: &request{}, peer: &peer{}, address: s.addr, message: &m, wait: time.Second})
 			want(t, "status", any(r.status), c.status)
 			want(t, "kept", r.conn != nil, c.keeps)
 			if c.status == clayladder.OK {
@@ -404,7 +446,7 @@
 		return readConn{c, reads}, err
 	}
 	m := message{line: "POST /x", host: "x"}
-	r := dialer{open: open, timeout: time.Second, held: newHolder()}.run(&attempt{peer: &peer{}, address: s.addr,
+	r := dialer{open: open, timeout: time.Second, held: newHolder()}.run(&attempt{req: &request{}, peer: &peer{}, address: s.addr,
 		message: &m, wait: time.Second})
 	want(t, "status", r.status, clayladder.Reset)
 	want(t, "body", string(r.body), "")
@@ -421,7 +463,7 @@
 
 	// What waits for its connection when its request ends or its upstream leaves is not sent any more.
 	s := newServer(t, okAll)
-	a := &attempt{address: s.addr, message: &message{line: "POST /x", host: "x"}, wait: time.Second}
+	a := &attempt{req: &request{}, address: s.addr, message: &message{line: "POST /x", host: "x"}, wait: time.Second}
 	want(t, "dropped", a.drop(), true)
 	r := d.run(a)
 	want(t, "status", r.status, clayladder.Moot)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -48,7 +48,19 @@
 
 // fresh looks, without waiting, whether an idle connection still stands.
 func (c *conn) fresh() error {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if quiet(c.Conn) != nil || c.in.Buffered() > 0 {
+		return errStale // closed, or bytes that nobody asked for
+	}
+	return nil
+}
+
+// errUnasked says that bytes have come that nobody asked for.
+var errUnasked = errors.New("bytes that nobody asked for")
+
+// quiet looks, without waiting, what has come on a connection that nobody reads: nothing, which is no error, its end, or
+// bytes, of which it takes the first.
+func quiet(c net.Conn) error {
+	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return err
 	}
@@ -61,10 +73,15 @@
 	}); err != nil {
 		return err
 	}
-	if n > 0 || c.in.Buffered() > 0 || !errors.Is(readErr, syscall.EAGAIN) {
-		return errStale // closed, or bytes that nobody asked for
-	}
-	return nil
+	switch {
+	case n > 0:
+		return errUnasked
+	case errors.Is(readErr, syscall.EAGAIN):
+		return nil
+	case readErr != nil:
+		return readErr
+	}
+	return io.EOF
 }
 
 // The stages of an attempt. The loop may drop one that waits for its connection;
@@ -234,6 +251,9 @@
 			a.drop()
 		}
 	}
+	if a.req.gone.Load() {
+		a.drop()
+	}
 	return wait, a.stage.CompareAndSwap(waiting, claimed) // else dropped: here, or its request ended or its upstream left
 }
 
