Take reloads also while what was taken before SIGTERM is answered

Line: run in proxy.go. Ruled out: a SIGHUP before the SIGTERM (the test there was). The test now crosses the two in both orders; the new order fails without the change: the reload is not taken. What serve says after the stop has begun is not its end.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -57,14 +57,19 @@
 		case <-ctx.Done():
 		}
 	}()
+	done, stopped := ctx.Done(), make(chan struct{})
 	for {
 		select {
-		case c := <-reloads:
+		case c := <-reloads: // also while what was taken is answered: discovery may be moving just then
 			l.post(reloaded{c})
 		case err := <-served:
-			return err
-		case <-ctx.Done():
-			f.stop()
+			if done != nil {
+				return err
+			}
+		case <-done:
+			done = nil
+			go func() { f.stop(); close(stopped) }()
+		case <-stopped:
 			return nil
 		}
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -933,8 +933,15 @@
 	}
 }
 
-// SIGTERM comes while discovery moves: what was taken is answered all the same.
-func TestStopDuringReloadLosesNothing(t *testing.T) {
+// SIGTERM comes while discovery moves, or discovery moves while what was taken before SIGTERM is answered: the new address
+// is asked, and what was taken is answered all the same.
+func TestStopAndReloadCross(t *testing.T) {
+	for _, stopFirst := range []bool{false, true} {
+		t.Run(fmt.Sprint("stop first ", stopFirst), func(t *testing.T) { stopAndReload(t, stopFirst) })
+	}
+}
+
+func stopAndReload(t *testing.T, stopFirst bool) {
 	release := make(chan struct{})
 	s := newServer(t, func(c net.Conn, r *http.Request) bool { <-release; return okAll(c, r) })
 	b := newBalancer(t, up("s-00000001", s))
@@ -952,8 +959,18 @@
 	next := newRegistry(t)
 	c := b.config
 	c.Discovery = next.addr
-	b.reloads <- c
-	<-next.calls // it has moved, and waits for the list
+	if stopFirst {
+		b.cancel()
+		for resp, err := b.client.Get(b.url + "/healthz"); err == nil && resp.StatusCode == 200; resp, err = b.client.Get(b.url + "/healthz") {
+			resp.Body.Close()
+		}
+	}
+	select {
+	case b.reloads <- c:
+		<-next.calls // it has moved, and waits for the list
+	case <-time.After(10 * time.Second):
+		t.Error("the reload is not taken")
+	}
 	b.cancel()
 	close(release)
 	want(t, "status of the request in hand", <-status, 200)
