--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -141,6 +141,20 @@
 	want(t, "connections opened", s.opened(), 2)
 }
 
+// A connection rests for longer than second copies were seen to be late, and serves again behind that.
+func TestConnectionRestsBetweenTwoRequests(t *testing.T) {
+	s := newServer(t, okAll)
+	h := newHand(t)
+	h.list(20, up("s-00000001", s))
+	want(t, "first", h.ask("1", time.Second).status, 200)
+	p := h.peers[h.names.id("s-00000001")]
+	since := p.idle[0].idleAt
+	c, _ := h.connection(p, since+4*time.Millisecond)
+	want(t, "used within the rest", c != nil, false)
+	c, _ = h.connection(p, since+restFor)
+	want(t, "used behind it", c != nil, true)
+}
+
 // An upstream that is gone with an attempt out is forgotten once that ends, and its connection is not kept.
 func TestGoneUpstreamEndsWithItsAttempt(t *testing.T) {
 	release := make(chan struct{})
