Take a whole list without members for a failed call

An answer that says it is complete and lacks its members, or has null there, was taken for the list of nothing: all upstreams gone. An empty list that is written out still counts.

Line: discovery.call. Ruled out, by the same test, which fails without the change in just these two forms: lists cut short, without an end, with a bad entry or with something behind them are failed calls already.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -256,6 +256,9 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		return l, fmt.Errorf("discovery: %w", err)
 	}
+	if l.Complete && l.Members == nil { // taken as it stands it would say that all upstreams are gone
+		return l, errors.New("discovery: a whole list without members")
+	}
 	for i := range l.Members {
 		if err := l.Members[i].check(); err != nil {
 			return l, fmt.Errorf("discovery: %w", err)
--- a/internal/proxy/discovery_test.go
+++ b/internal/proxy/discovery_test.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,6 +46,36 @@
 	return <-waits, x, time.Since(began)
 }
 
+// A list that is malformed, cut short or without an end is not taken by half: it is a failed call. One that lacks its members
+// would say that all upstreams are gone.
+func TestMalformedListsAreFailedCalls(t *testing.T) {
+	const one = `{"id":"s-00000001","host_port":"127.0.0.1:1","phase":"up"}`
+	for name, c := range map[string]struct {
+		text string
+		ok   bool
+	}{
+		"whole":            {`{"revision":11,"complete":true,"members":[` + one + `]}`, true},
+		"indented":         {"{\n  \"revision\": 11,\n  \"complete\": true,\n  \"members\": [\n    " + one + "\n  ]\n}\n", true},
+		"empty":            {`{"revision":11,"complete":true,"members":[]}`, true},
+		"no members":       {`{"revision":11,"complete":true}`, false},
+		"null members":     {`{"revision":11,"complete":true,"members":null}`, false},
+		"cut short":        {`{"revision":11,"complete":true,"members":[` + one + `,`, false},
+		"a bad entry":      {`{"revision":11,"complete":true,"members":[` + one + `,{"id":"s-2","phase":"up"}]}`, false},
+		"something behind": {`{"revision":11,"complete":true,"members":[` + one + `]}]`, false},
+		"without an end":   {`{"revision":11,"complete":true,"members":[` + one + strings.Repeat(" ", maxListing), false},
+		"no object":        {`[]`, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, c.text) }))
+			defer s.Close()
+			d := newDiscovery(t.Context(), s.Listener.Addr().String(), nil)
+			defer d.end()
+			_, err := d.call(t.Context(), d.url, callPatience)
+			want(t, "taken", err == nil, c.ok)
+		})
+	}
+}
+
 // A watch that falls silent, before its answer or amid it, is found while there is still time to hear of what it misses
 // on a new one.
 func TestSilentWatchIsFoundInTime(t *testing.T) {
