--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -46,12 +46,12 @@
 	headTime     = 2800 * time.Millisecond
 	slowestBody  = 32 << 10
 	idleClient   = 2 * time.Minute
-	// farewell bounds how long, and farewellMost how much, is read and dropped of a client that has been turned
+	// lingerTimeout bounds how long, and lingerBytes how much, is read and dropped of a client that has been turned
 	// away: closed at once, the connection would be reset and the answer lost with it.
-	farewell     = 300 * time.Millisecond
-	farewellMost = 256 << 10
-	// longFarewell is for a true client whose answer came before it had sent its whole body: it may look only then.
-	longFarewell = 2 * time.Second
+	lingerTimeout = 300 * time.Millisecond
+	lingerBytes   = 256 << 10
+	// longLingerTimeout is for a true client whose answer came before it had sent its whole body: it may look only then.
+	longLingerTimeout = 2 * time.Second
 )
 
 // answer is what a client gets, once.
@@ -423,7 +423,7 @@
 		return false
 	}
 	if !whole {
-		c.farewell(longFarewell, maxStream)
+		c.lingeringClose(longLingerTimeout, maxStream)
 	}
 	return whole && !closing
 }
@@ -545,7 +545,7 @@
 		}
 	}
 	for {
-		r.conn.SetReadDeadline(time.Now().Add(stalledPeer))
+		r.conn.SetReadDeadline(time.Now().Add(bodyIdleTimeout))
 		n, err := r.body.Read(p.space())
 		if n > 0 {
 			if err := push(c, p.framed(n, inChunks)); err != nil {
@@ -612,11 +612,11 @@
 	if c.write(answer{status: r.status, body: []byte(r.why + "\n"), kind: "text/plain"}, true) != nil {
 		return
 	}
-	c.farewell(farewell, farewellMost)
+	c.lingeringClose(lingerTimeout, lingerBytes)
 }
 
-// farewell reads and drops what a client that has its answer still sends, and waits for its close, within bounds.
-func (c *client) farewell(wait time.Duration, most int64) {
+// lingeringClose reads and drops what a client that has its answer still sends, and waits for its close, within bounds.
+func (c *client) lingeringClose(wait time.Duration, most int64) {
 	if half, ok := c.pace.Conn.(*net.TCPConn); ok {
 		half.CloseWrite()
 		half.SetReadDeadline(time.Now().Add(wait))
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -119,13 +119,13 @@
 	peers    map[clayladder.UpstreamID]*peer
 	off      map[string]clayladder.UpstreamID // in maintenance, by discovery's ids
 	ids      *ids
-	conns    int     // connections to upstreams, open or opening
-	due      []owing // outcomes that are known but not told: the module is not called while it calls
+	conns    int              // connections to upstreams, open or opening
+	pending  []pendingOutcome // outcomes that are known but not told: the module is not called while it calls
 	sweepAt  time.Duration
 }
 
-// owing is an outcome to tell as soon as the module has returned.
-type owing struct {
+// pendingOutcome is an outcome to tell as soon as the module has returned.
+type pendingOutcome struct {
 	a      *attempt
 	status clayladder.Status
 }
@@ -383,12 +383,12 @@
 
 // settle tells the outcomes that came up while the module was calling.
 func (l *loop) settle() {
-	for len(l.due) > 0 {
-		o := l.due[0]
-		l.due = l.due[1:]
+	for len(l.pending) > 0 {
+		o := l.pending[0]
+		l.pending = l.pending[1:]
 		l.end(o.a, o.status)
 	}
-	l.due = nil
+	l.pending = nil
 }
 
 // end stops waiting for an attempt. One that was never written is moot.
@@ -431,7 +431,7 @@
 	r.closed = true
 	for _, a := range r.attempts {
 		if a.drop() {
-			l.due = append(l.due, owing{a, clayladder.Moot})
+			l.pending = append(l.pending, pendingOutcome{a, clayladder.Moot})
 		}
 	}
 	l.release(r)
@@ -479,13 +479,13 @@
 	}
 	if r.closed || wait <= 0 || !l.usable(p) {
 		a.drop()
-		l.due = append(l.due, owing{a, clayladder.Moot})
+		l.pending = append(l.pending, pendingOutcome{a, clayladder.Moot})
 		return
 	}
 	var room bool
 	if a.conn, room = l.connection(p, now); !room { // no fault of the upstream's
 		a.drop()
-		l.due = append(l.due, owing{a, clayladder.Moot})
+		l.pending = append(l.pending, pendingOutcome{a, clayladder.Moot})
 		return
 	}
 	p.out[a] = struct{}{}
@@ -536,7 +536,7 @@
 // Cancel stops waiting for an attempt.
 func (l *loop) Cancel(id clayladder.RequestID, n int) {
 	if r := l.requests[id]; r != nil && n >= 0 && n < len(r.attempts) && !r.attempts[n].begun {
-		l.due = append(l.due, owing{r.attempts[n], clayladder.Cancelled})
+		l.pending = append(l.pending, pendingOutcome{r.attempts[n], clayladder.Cancelled})
 	}
 }
 
@@ -742,7 +742,7 @@
 		l.Disconnect(number)
 		for a := range p.out {
 			if a.drop() { // it waited for a connection
-				l.due = append(l.due, owing{a, clayladder.Moot})
+				l.pending = append(l.pending, pendingOutcome{a, clayladder.Moot})
 			}
 			written = written && a.stage.Load() != claimed
 		}
@@ -826,7 +826,7 @@
 		if p.state != clayladder.Active {
 			for a := range p.out {
 				if a.drop() { // its upstream left while it waited for a connection
-					l.due = append(l.due, owing{a, clayladder.Moot})
+					l.pending = append(l.pending, pendingOutcome{a, clayladder.Moot})
 				}
 			}
 		}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -28,9 +28,9 @@
 	holdFor = 50 * time.Millisecond
 	// sentWait is how long an answer to an open request waits for the write of the request's last byte to return.
 	sentWait = 20 * time.Millisecond
-	// stalledPeer is how long a peer may take nothing, or give nothing, of a body that passes on. It is far over what a
+	// bodyIdleTimeout is how long a peer may take nothing, or give nothing, of a body that passes on. It is far over what a
 	// slow line takes for a piece.
-	stalledPeer = 10 * time.Second
+	bodyIdleTimeout = 10 * time.Second
 )
 
 // maxUtil bounds the use that a load report can mean: all cores busy is 1, give or take its noise.
@@ -311,7 +311,7 @@
 // push writes all of b, for as long as the other side takes some of it now and then.
 func push(c net.Conn, b []byte) error {
 	for {
-		c.SetWriteDeadline(time.Now().Add(stalledPeer))
+		c.SetWriteDeadline(time.Now().Add(bodyIdleTimeout))
 		n, err := c.Write(b)
 		timeout := net.Error(nil)
 		if b = b[n:]; err == nil || n == 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
