--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -24,7 +24,7 @@
 	Name      string
 	Listen    string // host:port for clients
 	Discovery string // host:port of discovery
-	Operator  string // host:port for operators; empty: no door
+	Operator  string // host:port for operators; empty: no admin listener
 	StateDir  string // where what operators called for is kept
 	Inherited int    // descriptor of the clients' listening socket; 0: this process listens itself
 	Seed      uint64
@@ -140,20 +140,20 @@
 }
 
 // Descriptors: clients hold a third at most for requests, so upstreams need no more. A reserve is for the listener,
-// discovery, the operators' door and what is being closed. The rest is for clients, whose connections are more than
+// discovery, the admin listener and what is being closed. The rest is for clients, whose connections are more than
 // their requests.
 
 func (c *Config) upstreamConns() int { return c.Sockets / 3 }
 func (c *Config) clientConns() int {
-	return c.Sockets - c.upstreamConns() - max(c.Sockets/16, 16) - c.doorConns()
+	return c.Sockets - c.upstreamConns() - max(c.Sockets/16, 16) - c.adminConns()
 }
 
-// doorConns is what the door may hold: its listener and its calls.
-func (c *Config) doorConns() int {
+// adminConns is what the admin listener may hold: its listener and its calls.
+func (c *Config) adminConns() int {
 	if c.Operator == "" {
 		return 0
 	}
-	return 1 + doorConns
+	return 1 + adminConns
 }
 
 // held is how much of bodies may be held at once: a quarter of the memory, beside the program, its connections and what
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -76,8 +76,8 @@
 	Offline      []string `json:"offline"`
 }
 
-// book keeps the orders in a file that the processes of one balancer share, one after another and while they overlap.
-type book struct {
+// stateFile keeps the orders in a file that the processes of one balancer share, one after another and while they overlap.
+type stateFile struct {
 	path   string
 	shared bool     // another process may live beside this one
 	life   *os.File // locked for as long as this process lives
@@ -88,9 +88,9 @@
 	seen os.FileInfo // of the file that held was read from
 }
 
-// openBook reads what the process before has left. A file that can't be used is reported and no more: the start goes on.
-func openBook(c *Config) (*book, error) {
-	b := &book{path: filepath.Join(c.StateDir, "olivearch-"+url.PathEscape(c.Name)+".json"), shared: c.Inherited != 0}
+// openStateFile reads what the process before has left. A file that can't be used is reported and no more: the start goes on.
+func openStateFile(c *Config) (*stateFile, error) {
+	b := &stateFile{path: filepath.Join(c.StateDir, "olivearch-"+url.PathEscape(c.Name)+".json"), shared: c.Inherited != 0}
 	for try := 0; b.shared && b.life == nil && try < 10*livesMost; try++ { // another one's look lasts for a moment
 		b.place = try % livesMost
 		var err error
@@ -114,10 +114,10 @@
 	return b, nil
 }
 
-func (b *book) lifePath(place int) string { return fmt.Sprintf("%s.life%d", b.path, place) }
+func (b *stateFile) lifePath(place int) string { return fmt.Sprintf("%s.life%d", b.path, place) }
 
 // close gives up what is locked.
-func (b *book) close() {
+func (b *stateFile) close() {
 	if b.life != nil {
 		b.life.Close()
 	}
@@ -137,7 +137,7 @@
 }
 
 // alone tells whether no other process of this balancer lives.
-func (b *book) alone() bool {
+func (b *stateFile) alone() bool {
 	for place := range livesMost {
 		if !b.shared || place == b.place {
 			continue
@@ -154,7 +154,7 @@
 }
 
 // read reads the file. Without an error it is whole: it is replaced, never written over.
-func (b *book) read() (orders, os.FileInfo, error) {
+func (b *stateFile) read() (orders, os.FileInfo, error) {
 	var o orders
 	f, err := os.Open(b.path)
 	if err != nil {
@@ -179,7 +179,7 @@
 }
 
 // news returns what another process was told since the last look.
-func (b *book) news() (orders, bool) {
+func (b *stateFile) news() (orders, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	info, err := os.Stat(b.path)
@@ -196,7 +196,7 @@
 }
 
 // change notes a call, on top of what the other process has noted.
-func (b *book) change(ctx context.Context, by func(*orders)) (orders, error) {
+func (b *stateFile) change(ctx context.Context, by func(*orders)) (orders, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	lock, err := tryLock(b.path + ".lock")
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -77,9 +77,9 @@
 	again.Close()
 }
 
-func openTestBook(t *testing.T, dir string) *book {
+func openTestStateFile(t *testing.T, dir string) *stateFile {
 	t.Helper()
-	b, err := openBook(&Config{Name: "n/0", StateDir: dir, Inherited: 4})
+	b, err := openStateFile(&Config{Name: "n/0", StateDir: dir, Inherited: 4})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,7 +95,7 @@
 		if err := os.WriteFile(filepath.Join(dir, "olivearch-n%2F0.json"), []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		b := openTestBook(t, dir)
+		b := openTestStateFile(t, dir)
 		want(t, what+": drained", b.held.OutOfService, false)
 		want(t, what+": left out", len(b.held.Offline), 0)
 		if _, err := b.change(t.Context(), func(o *orders) { o.Offline = append(o.Offline, "s-1") }); err != nil {
@@ -110,13 +110,13 @@
 // Two processes of one balancer know of each other, and what one is told the other hears of; calls at both add up.
 func TestOrdersOfTwoProcesses(t *testing.T) {
 	dir := t.TempDir()
-	a := openTestBook(t, dir)
+	a := openTestStateFile(t, dir)
 	want(t, "alone at first", a.alone(), true)
-	b := openTestBook(t, dir)
+	b := openTestStateFile(t, dir)
 	want(t, "alone, the older", a.alone(), false)
 	want(t, "alone, the newer", b.alone(), false)
 	for _, x := range []struct {
-		told *book
+		told *stateFile
 		id   string
 	}{{a, "s-1"}, {b, "s-2"}} {
 		if _, err := x.told.change(t.Context(), func(o *orders) { o.Offline = append(o.Offline, x.id) }); err != nil {
@@ -151,9 +151,9 @@
 // succeed starts another process of b, on the same socket and beside it. Its discovery has told nothing yet.
 func (b *balancer) succeed(t *testing.T, l net.Listener, members ...member) *balancer {
 	t.Helper()
-	door := freeAddress(t)
+	admin := freeAddress(t)
 	heir := newBalancerWith(t, func(c *Config) {
-		c.Operator, c.StateDir, c.Inherited = door, b.config.StateDir, inherit(t, l.(*net.TCPListener))
+		c.Operator, c.StateDir, c.Inherited = admin, b.config.StateDir, inherit(t, l.(*net.TCPListener))
 	}, members...)
 	heir.url = "http://" + l.Addr().String()
 	return heir
@@ -191,7 +191,7 @@
 	taken.send(t, old.ask("checkin", "", "X-Hold", "1"))
 	old.until(t, "the request is with the server", held.Load)
 	heir := old.succeed(t, l, members...)
-	heir.until(t, "a door that says no without a list", func() bool { return heir.call(t, "GET", "/control/ready") == 503 })
+	heir.until(t, "an admin listener that says no without a list", func() bool { return heir.call(t, "GET", "/control/ready") == 503 })
 	want(t, "it asks for the whole list, which is told at once", <-heir.registry.calls, "")
 	heir.registry.answers <- listing{Revision: 11, Complete: true, Members: members}
 	heir.until(t, "the new one is ready", func() bool { return heir.call(t, "GET", "/control/ready") == 200 })
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -133,7 +133,7 @@
 var _ clayladder.Host = (*loop)(nil)
 
 func newLoop(ctx context.Context, c *Config) *loop {
-	l := &loop{ctx: ctx, events: make(chan event, 1024), lists: make(chan listed, 4), calls: make(chan called, doorConns), logs: make(chan string, logQueue),
+	l := &loop{ctx: ctx, events: make(chan event, 1024), lists: make(chan listed, 4), calls: make(chan called, adminConns), logs: make(chan string, logQueue),
 		origin: time.Now(), dial: dialer{open: net.DialTimeout, timeout: c.Links.ConnectTimeout}, settings: c.Settings,
 		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.upstreamConns(),
 		names: newNames(), requests: map[clayladder.RequestID]*request{}, open: map[string]bool{},
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -17,26 +17,26 @@
 const (
 	// callWait is how long an operator waits for a yes or a no. What takes longer has no one to hear it.
 	callWait = time.Second
-	// doorConns bounds the calls that are open at once: the few of an operator, and as many that never finish.
-	doorConns = 8
+	// adminConns bounds the calls that are open at once: the few of an operator, and as many that never finish.
+	adminConns = 8
 	// writeWait is the time between two looks whether a request is still on its way to an upstream that is taken out.
 	writeWait = 5 * time.Millisecond
 	doorHead  = 4 << 10 // a call has a short path and no fields that matter
 )
 
-// door answers the operators' calls, each on a connection of its own, at an address that clients do not have.
-type door struct {
+// adminServer answers the operators' calls, each on a connection of its own, at an address that clients do not have.
+type adminServer struct {
 	server http.Server
 	loop   *loop
 	front  *frontend
-	book   *book
+	state  *stateFile
 
 	mu    sync.Mutex
 	conns []net.Conn // open, the oldest first
 }
 
-func newDoor(l *loop, f *frontend, b *book) *door {
-	d := &door{loop: l, front: f, book: b}
+func newAdminServer(l *loop, f *frontend, b *stateFile) *adminServer {
+	d := &adminServer{loop: l, front: f, state: b}
 	d.server = http.Server{Handler: d, ReadTimeout: callWait, WriteTimeout: 2 * callWait, MaxHeaderBytes: doorHead,
 		DisableGeneralOptionsHandler: true, ConnState: d.count, ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)}
 	d.server.SetKeepAlivesEnabled(false)
@@ -44,12 +44,12 @@
 }
 
 // count keeps the calls within their bound: the oldest, which had the most time, gives way.
-func (d *door) count(c net.Conn, s http.ConnState) {
+func (d *adminServer) count(c net.Conn, s http.ConnState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch s {
 	case http.StateNew:
-		if d.conns = append(d.conns, c); len(d.conns) > doorConns {
+		if d.conns = append(d.conns, c); len(d.conns) > adminConns {
 			d.conns[0].Close()
 			d.conns = slices.Delete(d.conns, 0, 1)
 		}
@@ -67,7 +67,7 @@
 func (n *no) Error() string { return n.why }
 
 // ServeHTTP answers one call.
-func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (d *adminServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	method, do := d.call(r.URL.EscapedPath())
 	ctx, cancel := context.WithTimeout(r.Context(), callWait)
 	defer cancel()
@@ -93,7 +93,7 @@
 }
 
 // call tells what a path asks for; nil: it is no call.
-func (d *door) call(path string) (method string, do func(context.Context) error) {
+func (d *adminServer) call(path string) (method string, do func(context.Context) error) {
 	switch path {
 	case "/control/ready":
 		return http.MethodGet, d.ready
@@ -123,7 +123,7 @@
 }
 
 // turn has the loop do something, and waits until that is done.
-func (d *door) turn(ctx context.Context, do func(l *loop)) error {
+func (d *adminServer) turn(ctx context.Context, do func(l *loop)) error {
 	e := called{do, make(chan struct{})}
 	select {
 	case d.loop.calls <- e:
@@ -139,7 +139,7 @@
 }
 
 // ready says yes once this process can serve.
-func (d *door) ready(ctx context.Context) error {
+func (d *adminServer) ready(ctx context.Context) error {
 	var missing string
 	if err := d.turn(ctx, func(l *loop) { missing = l.missing() }); err != nil {
 		return err
@@ -154,12 +154,12 @@
 }
 
 // drain begins or ends a drain.
-func (d *door) drain(ctx context.Context, on bool) error {
+func (d *adminServer) drain(ctx context.Context, on bool) error {
 	return d.order(ctx, func(o *orders) { o.OutOfService = on })
 }
 
 // maintain leaves an upstream out, or ends that.
-func (d *door) maintain(ctx context.Context, id string, out bool) error {
+func (d *adminServer) maintain(ctx context.Context, id string, out bool) error {
 	var known bool
 	if err := d.turn(ctx, func(l *loop) {
 		_, off := l.off[id]
@@ -179,12 +179,12 @@
 }
 
 // order notes a call and has it obeyed, by the other process too if there is one.
-func (d *door) order(ctx context.Context, by func(*orders)) error {
-	o, err := d.book.change(ctx, by)
+func (d *adminServer) order(ctx context.Context, by func(*orders)) error {
+	o, err := d.state.change(ctx, by)
 	if err != nil {
 		return err
 	}
-	if err := d.obey(ctx, o); err != nil || d.book.alone() {
+	if err := d.obey(ctx, o); err != nil || d.state.alone() {
 		return err
 	}
 	select {
@@ -196,7 +196,7 @@
 }
 
 // obey goes by the orders. It waits for what has begun to be written to an upstream that is left out.
-func (d *door) obey(ctx context.Context, o orders) error {
+func (d *adminServer) obey(ctx context.Context, o orders) error {
 	d.front.drain(o.OutOfService)
 	for {
 		var written bool
@@ -213,17 +213,17 @@
 
 // follow goes by what another process was told, and keeps to a part of the limits while there is one. began is closed
 // once this process may take connections: when it is ready, or there is nobody else.
-func (d *door) follow(ctx context.Context, c *Config, began chan<- struct{}) {
+func (d *adminServer) follow(ctx context.Context, c *Config, began chan<- struct{}) {
 	look := time.NewTicker(followEvery)
 	defer look.Stop()
 	shares, waits := false, true
 	for {
-		if o, ok := d.book.news(); ok {
+		if o, ok := d.state.news(); ok {
 			if err := d.obey(ctx, o); err != nil && ctx.Err() == nil {
 				slog.Error("orders of the other process", "err", err)
 			}
 		}
-		if alone := d.book.alone(); alone == shares {
+		if alone := d.state.alone(); alone == shares {
 			shares = !alone
 			d.share(ctx, c, shares)
 		}
@@ -243,7 +243,7 @@
 }
 
 // share keeps this process to its half of the limits, or ends that.
-func (d *door) share(ctx context.Context, c *Config, on bool) {
+func (d *adminServer) share(ctx context.Context, c *Config, on bool) {
 	parts := 1
 	if on {
 		parts = overlap
@@ -259,16 +259,16 @@
 }
 
 // serve answers calls until end.
-func (d *door) serve(l net.Listener) error {
+func (d *adminServer) serve(l net.Listener) error {
 	if err := d.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("the operators' door: %w", err)
+		return fmt.Errorf("the admin listener: %w", err)
 	}
 	return nil
 }
 
-func (d *door) end() { d.server.Close() }
+func (d *adminServer) end() { d.server.Close() }
 
-// listenForOperators opens the door's listener; no address, no door.
+// listenForOperators opens the admin listener; no address, none.
 func listenForOperators(address string) (net.Listener, error) {
 	if strings.TrimSpace(address) == "" {
 		return nil, nil
--- a/internal/proxy/operator_test.go
+++ b/internal/proxy/operator_test.go
@@ -11,11 +11,11 @@
 	"time"
 )
 
-// newOperated is a balancer with a door. discovery has told its list once.
+// newOperated is a balancer with an admin listener. discovery has told its list once.
 func newOperated(t *testing.T, members ...member) *balancer {
 	t.Helper()
-	door, dir := freeAddress(t), t.TempDir()
-	b := newBalancerWith(t, func(c *Config) { c.Operator, c.StateDir = door, dir }, members...)
+	admin, dir := freeAddress(t), t.TempDir()
+	b := newBalancerWith(t, func(c *Config) { c.Operator, c.StateDir = admin, dir }, members...)
 	b.registry.answers <- listing{Revision: 11, Complete: true, Members: members}
 	b.until(t, "ready", func() bool { return b.call(t, "GET", "/control/ready") == 200 })
 	return b
@@ -48,7 +48,7 @@
 	return b.say(t, method+" "+path+" HTTP/1.1\r\nHost: x\r\n\r\n")
 }
 
-// say sends a text to the door and returns the status of the answer, behind which the connection has to end.
+// say sends a text to the admin listener and returns the status of the answer, behind which the connection has to end.
 func (b *balancer) say(t *testing.T, text string) int {
 	t.Helper()
 	c, err := net.Dial("tcp", b.config.Operator)
@@ -57,7 +57,7 @@
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(5 * time.Second))
-	io.WriteString(c, text) // the door may have answered and closed before the end of a bad call
+	io.WriteString(c, text) // the admin listener may have answered and closed before the end of a bad call
 	in := bufio.NewReader(c)
 	resp, err := http.ReadResponse(in, nil)
 	if err != nil {
@@ -97,11 +97,11 @@
 	want(t, "health after all that", b.health(t), 200)
 }
 
-// Callers who say nothing take every place at the door, and more: a call still has its answer at once.
+// Callers who say nothing take every place at the admin listener, and more: a call still has its answer at once.
 func TestUnfinishedCallsDelayNone(t *testing.T) {
 	b := newOperated(t, up("s-00000001", newServer(t, okAll)))
 	var silent []net.Conn
-	for i := range 3 * doorConns {
+	for i := range 3 * adminConns {
 		c, err := net.Dial("tcp", b.config.Operator)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -22,10 +22,10 @@
 	l := newLoop(life, &c)
 	made(l)
 	f := newFrontend(&c, listener, l)
-	var b *book
+	var b *stateFile
 	var held orders
 	if operators != nil { // who can be given no orders keeps none
-		if b, err = openBook(&c); err != nil {
+		if b, err = openStateFile(&c); err != nil {
 			return err
 		}
 		defer b.close()
@@ -39,7 +39,7 @@
 	began := make(chan struct{})
 	served := make(chan error, 2)
 	if operators != nil {
-		d := newDoor(l, f, b)
+		d := newAdminServer(l, f, b)
 		defer d.end()
 		go func() { served <- d.serve(operators) }()
 		if b.shared {
