Keep no connection that was given up in the moment its answer came

The give-up that goes out before the module is told ends the sending on the connection. Where the answer had come by then, and its attempt's end was still to be heard, the connection was kept, and the next attempt on it could not be written.

--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -358,7 +358,11 @@
 	if a.lingers {
 		a.peer.lingering--
 	}
-	l.keep(a.peer, e.result.conn)
+	if c := e.result.conn; c != nil && a.givenUp { // the answer came just then: nothing can be written on it any more
+		l.shut(c)
+	} else {
+		l.keep(a.peer, c)
+	}
 	l.tell(a, e.result)
 	l.forget(a.peer)
 }
@@ -404,6 +408,7 @@
 			a.peer.lingering++
 			a.limit(time.Now().Add(lingerFor))
 		} else { // before the module is told: what it sends next would count as a second copy
+			a.givenUp = true
 			a.giveUp()
 		}
 	}
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -417,6 +417,18 @@
 	want(t, "then", <-told, "2 written")
 }
 
+// An attempt is given up in the moment in which its answer has come: its connection does not serve again.
+func TestGivenUpConnectionIsNotKept(t *testing.T) {
+	s := newServer(t, okAll)
+	h := newHand(t)
+	h.list(20, up("s-00000001", s))
+	r := h.begin("read", "1", 4*time.Second)
+	e := <-h.events // the answer, which the loop has not heard of
+	h.end(r.attempts[0], clayladder.Timeout)
+	e.apply(h.loop)
+	want(t, "connections kept", len(h.peers[r.attempts[0].peer.id].idle), 0)
+}
+
 // A watch that has fallen silent is opened anew at once, and so is the first one after discovery has moved: their news
 // soon counts as told. What fails is asked again when the module says so.
 func TestNewWatchAtOnce(t *testing.T) {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -112,6 +112,7 @@
 	conn     *conn         // read by the loop only once the attempt is claimed
 	told     bool          // the loop: the module has had its outcome
 	lingers  bool          // the loop: it is left to its connection for the late answer
+	givenUp  bool          // the loop: its connection has been ended
 	begun    bool          // the loop: its answer passes on
 	neverRan bool          // the loop: it is known never to have run
 }
