Go by the operators' orders as they are at the turn, not as a call noted them

Each call noted its order and then had the loop go by what it had noted. Of two calls at once the first one's turn could come last: it put back an upstream, or a drain, for which the second had been told yes. The same between a call and a look at what the other process was told.

Lines: adminServer.order, obey and follow. Ruled out: the file, which is changed under its lock. TestOrdersThatCross gives the second call's turn first and fails where an order is taken before the turn: one upstream left out of two, not drained.

--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -83,8 +84,8 @@
 	life   *os.File // locked for as long as this process lives
 	place  int      // which of the files that tell who lives
 
-	mu   sync.Mutex
-	held orders
+	held atomic.Pointer[orders]
+	mu   sync.Mutex  // over changes of held
 	seen os.FileInfo // of the file that held was read from
 }
 
@@ -110,7 +111,7 @@
 	default:
 		slog.Info("orders read", "out_of_service", o.OutOfService, "offline", o.Offline)
 	}
-	b.held = o
+	b.held.Store(&o)
 	return b, nil
 }
 
@@ -178,57 +179,57 @@
 	return o, info, nil
 }
 
-// news returns what another process was told since the last look.
-func (b *stateFile) news() (orders, bool) {
+// news looks whether another process was told anything since the last look.
+func (b *stateFile) news() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	info, err := os.Stat(b.path)
 	if err != nil || (b.seen != nil && os.SameFile(info, b.seen) && info.ModTime().Equal(b.seen.ModTime())) {
-		return orders{}, false
+		return false
 	}
 	o, info, err := b.read()
 	if b.seen = info; err != nil {
 		slog.Error("orders: a change can't be read, what held before holds", "err", err)
-		return orders{}, false
+		return false
 	}
-	b.held = o
-	return o, true
+	b.held.Store(&o)
+	return true
 }
 
 // change notes a call, on top of what the other process has noted.
-func (b *stateFile) change(ctx context.Context, by func(*orders)) (orders, error) {
+func (b *stateFile) change(ctx context.Context, by func(*orders)) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	lock, err := tryLock(b.path + ".lock")
 	for err == nil && lock == nil {
 		select {
 		case <-ctx.Done():
-			return orders{}, fmt.Errorf("orders: the lock is held: %w", ctx.Err())
+			return fmt.Errorf("orders: the lock is held: %w", ctx.Err())
 		case <-time.After(lockEvery):
 			lock, err = tryLock(b.path + ".lock")
 		}
 	}
 	if err != nil {
-		return orders{}, fmt.Errorf("orders: %w", err)
+		return fmt.Errorf("orders: %w", err)
 	}
 	defer lock.Close()
 	o, _, err := b.read()
 	if err != nil { // missing, or spoilt: what this process goes by is the best there is
-		o = b.held
+		o = *b.held.Load()
 	}
 	o.Offline = slices.Clone(o.Offline)
 	by(&o)
 	var text bytes.Buffer
 	if err := json.NewEncoder(&text).Encode(o); err != nil {
-		return orders{}, fmt.Errorf("orders: %w", err)
+		return fmt.Errorf("orders: %w", err)
 	}
 	if err := os.WriteFile(b.path+".new", text.Bytes(), 0o600); err != nil {
-		return orders{}, fmt.Errorf("orders: %w", err)
+		return fmt.Errorf("orders: %w", err)
 	}
 	if err := os.Rename(b.path+".new", b.path); err != nil {
-		return orders{}, fmt.Errorf("orders: %w", err)
+		return fmt.Errorf("orders: %w", err)
 	}
-	b.held = o
+	b.held.Store(&o)
 	b.seen, _ = os.Stat(b.path)
-	return o, nil
+	return nil
 }
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -96,9 +96,9 @@
 			t.Fatal(err)
 		}
 		b := openTestStateFile(t, dir)
-		want(t, what+": drained", b.held.OutOfService, false)
-		want(t, what+": left out", len(b.held.Offline), 0)
-		if _, err := b.change(t.Context(), func(o *orders) { o.Offline = append(o.Offline, "s-1") }); err != nil {
+		want(t, what+": drained", b.held.Load().OutOfService, false)
+		want(t, what+": left out", len(b.held.Load().Offline), 0)
+		if err := b.change(t.Context(), func(o *orders) { o.Offline = append(o.Offline, "s-1") }); err != nil {
 			t.Errorf("%s: %v", what, err)
 		}
 		if o, _, err := b.read(); err != nil || len(o.Offline) != 1 || o.OutOfService {
@@ -119,21 +119,18 @@
 		told *stateFile
 		id   string
 	}{{a, "s-1"}, {b, "s-2"}} {
-		if _, err := x.told.change(t.Context(), func(o *orders) { o.Offline = append(o.Offline, x.id) }); err != nil {
+		if err := x.told.change(t.Context(), func(o *orders) { o.Offline = append(o.Offline, x.id) }); err != nil {
 			t.Fatal(err)
 		}
 	}
-	o, ok := a.news()
-	want(t, "heard", ok, true)
-	want(t, "both", strings.Join(o.Offline, " "), "s-1 s-2")
-	_, ok = a.news()
-	want(t, "heard twice", ok, false)
+	want(t, "heard", a.news(), true)
+	want(t, "both", strings.Join(a.held.Load().Offline, " "), "s-1 s-2")
+	want(t, "heard twice", a.news(), false)
 	if err := os.WriteFile(b.path, []byte("{"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	_, ok = a.news()
-	want(t, "a spoilt change is news", ok, false)
-	want(t, "held over it", len(a.held.Offline), 2)
+	want(t, "a spoilt change is news", a.news(), false)
+	want(t, "held over it", len(a.held.Load().Offline), 2)
 	b.close()
 	want(t, "alone after its end", a.alone(), true)
 	lock, err := tryLock(a.path + ".lock")
@@ -143,11 +140,46 @@
 	defer lock.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
-	if _, err := a.change(ctx, func(*orders) {}); !errors.Is(err, context.DeadlineExceeded) {
+	if err := a.change(ctx, func(*orders) {}); !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("with the lock held: %v", err)
 	}
 }
 
+// Two calls cross: the one that was noted first has its turn in the loop last. It does not undo the other one.
+func TestOrdersThatCross(t *testing.T) {
+	s := newServer(t, okAll)
+	h := newHand(t)
+	h.list(20, up("s-00000001", s), up("s-00000002", s))
+	c, err := load(t, configText, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	d := newAdminServer(h.loop, newFrontend(&c, listener, h.loop), openTestStateFile(t, t.TempDir()))
+	said := make(chan error, 2)
+	order := func(id string) called {
+		go func() {
+			said <- d.order(t.Context(), func(o *orders) {
+				o.Offline, o.OutOfService = append(o.Offline, id), id == "s-00000002"
+			})
+		}()
+		return <-h.calls
+	}
+	first := order("s-00000001")
+	second := order("s-00000002")
+	second.apply(h.loop)
+	first.apply(h.loop)
+	for range 2 {
+		want(t, "a call's answer", <-said, nil)
+	}
+	want(t, "left out", len(h.off), 2)
+	want(t, "drained", d.front.parting(), true)
+}
+
 // succeed starts another process of b, on the same socket and beside it. Its discovery has told nothing yet.
 func (b *balancer) succeed(t *testing.T, l net.Listener, members ...member) *balancer {
 	t.Helper()
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -180,11 +180,10 @@
 
 // order notes a call and has it obeyed, by the other process too if there is one.
 func (d *adminServer) order(ctx context.Context, by func(*orders)) error {
-	o, err := d.state.change(ctx, by)
-	if err != nil {
+	if err := d.state.change(ctx, by); err != nil {
 		return err
 	}
-	if err := d.obey(ctx, o); err != nil || d.state.alone() {
+	if err := d.obey(ctx); err != nil || d.state.alone() {
 		return err
 	}
 	select {
@@ -195,12 +194,16 @@
 	}
 }
 
-// obey goes by the orders. It waits for what has begun to be written to an upstream that is left out.
-func (d *adminServer) obey(ctx context.Context, o orders) error {
-	d.front.drain(o.OutOfService)
+// obey goes by the orders as they are at its turn: those that a call has noted may be older than what a later call, whose
+// turn came first, was told yes for. It waits for what has begun to be written to an upstream that is left out.
+func (d *adminServer) obey(ctx context.Context) error {
 	for {
 		var written bool
-		if err := d.turn(ctx, func(l *loop) { written = l.obey(o.Offline) }); err != nil || written {
+		if err := d.turn(ctx, func(l *loop) {
+			o := d.state.held.Load()
+			d.front.drain(o.OutOfService)
+			written = l.obey(o.Offline)
+		}); err != nil || written {
 			return err
 		}
 		select {
@@ -218,8 +221,8 @@
 	defer look.Stop()
 	shares, waits := false, true
 	for {
-		if o, ok := d.state.news(); ok {
-			if err := d.obey(ctx, o); err != nil && ctx.Err() == nil {
+		if d.state.news() {
+			if err := d.obey(ctx); err != nil && ctx.Err() == nil {
 				slog.Error("orders of the other process", "err", err)
 			}
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -29,7 +29,7 @@
 			return err
 		}
 		defer b.close()
-		held = b.held
+		held = *b.held.Load()
 	}
 	if err := l.start(&c, held.Offline); err != nil {
 		return err
