--- a/balancer.go
+++ b/balancer.go
@@ -49,6 +49,9 @@
 	waitGrowth            = 2           // trials, failed connects and discovery calls are spaced by this growth
 	logEvery              = 5 * time.Second
 	callTime              = 60 * time.Millisecond // of discovery for a call: it served 31 in 2 s
+	toldWithin            = 6 * time.Second       // what a failed call missed counts as told by then
+	callSpare             = time.Second           // of that, for the call that brings it
+	callMost              = 3 * time.Second       // one that fails later than this waited for news, not in turn
 	tickToken, watchToken = 1, 2
 )
 
@@ -668,7 +671,7 @@
 	switch mode {
 	case ListStale: // at once: what it misses counts as told before turns drawn over all instances would be over
 		b.stale, b.watchWait = true, 0
-		b.host.Watch(true)
+		b.ask(now)
 		return
 	case ListFailed: // ask again, later each time and never all instances at once
 		b.watchWait = max(b.watchWait*waitGrowth, b.s.Rules.AskWithin/32)
@@ -676,12 +679,20 @@
 			b.watchWait = max(b.watchWait, b.turnOfCalls())
 		}
 		b.watchWait = min(b.watchWait, b.s.Rules.AskWithin/2)
-		wait := b.watchWait/2 + time.Duration(b.rng.Int64N(int64(b.watchWait)+1))
+		// Discovery may be back, with news, since the call that failed was made: the next one is in time for that.
+		most := toldWithin - callSpare
+		if now-b.askedAt <= callMost {
+			most -= now - b.askedAt
+		}
+		least := min(b.watchWait, most) / 2
+		// Each takes a part of the time of its own, as all may have failed at once.
+		_, turn := math.Modf(float64(b.s.Rank)*math.Phi + b.rng.Float64()/float64(b.s.Balancers))
+		wait := least + time.Duration(turn*float64(min(b.watchWait*3/2, most)-least))
 		b.host.SetTimer(wait, watchToken)
 		b.log(now, "discovery", "discovery call failed: asking again in %v", wait)
 		return
 	}
-	b.stale, b.watchWait = false, 0
+	b.stale, b.watchWait, b.askedAt = false, 0, now // a watch goes on with the next call
 	named := make(map[UpstreamID]bool, len(list))
 	for _, e := range list {
 		named[e.ID] = true
@@ -696,6 +707,12 @@
 	b.dispatch(now)
 }
 
+// ask calls discovery.
+func (b *Balancer) ask(now time.Duration) {
+	b.askedAt = now
+	b.host.Watch(true)
+}
+
 // turnOfCalls is the time in which discovery, that serves calls in turn, can serve one of each balancer.
 func (b *Balancer) turnOfCalls() time.Duration {
 	return min(time.Duration(b.s.Balancers)*callTime, b.s.Rules.AskWithin/2)
@@ -771,7 +788,7 @@
 // Timer takes a timer that the Balancer has set.
 func (b *Balancer) Timer(now time.Duration, token uint64) {
 	if token != tickToken { // watchToken; a stray one must not start a second row of ticks
-		b.host.Watch(true)
+		b.ask(now)
 		return
 	}
 	b.host.SetTimer(b.tick, tickToken)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -330,6 +330,44 @@
 	}
 }
 
+// Whatever failed, a change counts as told 6 s after discovery had it and could be asked. It may have come back the moment
+// after a call was made that fails yet. Of many balancers one in some hundreds waited longer, and sent to what drained.
+func TestNoFailedCallOutlastsWhatCountsAsTold(t *testing.T) {
+	const told, served = 6 * time.Second, time.Second // as the standing test's page has it; the next call's own time
+	for _, balancers := range []int{1, 30, 300, 950} {
+		s := settings()
+		s.OnRequest, s.Balancers, s.Rules.AskWithin = true, balancers, 10*time.Second
+		for seed := range 200 {
+			h := &recorder{}
+			var wait time.Duration
+			h.hook = func(kind string, _ RequestID, _ UpstreamID, d time.Duration, n uint64) {
+				if kind == "timer" && n == watchToken {
+					wait = d
+				}
+			}
+			now := time.Hour
+			b, err := New(s, uint64(seed), now, h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Members(now, ListFull, fleet(1)) // a watch ends when discovery goes down
+			now += time.Minute
+			b.Members(now, ListFailed, nil)
+			for call := range 8 {
+				began, failed := now, []time.Duration{0, time.Millisecond, 2 * time.Second}[call%3]
+				if call > 0 { // the first is the watch
+					b.Timer(now, watchToken)
+					now += failed
+					b.Members(now, ListFailed, nil)
+				}
+				if now += wait; now-began > told-served {
+					t.Fatalf("%d balancers: call %d fails after %v, the next comes %v after it", balancers, call, failed, now-began)
+				}
+			}
+		}
+	}
+}
+
 // Discovery serves calls in turn, and works on those that have waited too long as well: eighty at once, and again
 // soon after their failure, kept it from answering any.
 func TestBalancersCallDiscoveryInTurn(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -136,6 +136,7 @@
 	doubt                   float64             // part of the overdue attempts that were answered after all
 	part                    float64             // of what the upstreams answer, as far as their reports tell
 	tick, stepAt, watchWait time.Duration
+	askedAt                 time.Duration // last call of discovery that is known of
 	tightAt                 time.Duration // last time that no upstream could take a request
 	logged                  map[string]time.Duration
 }
