--- a/balancer.go
+++ b/balancer.go
@@ -51,7 +51,7 @@
 	callTime              = 60 * time.Millisecond // of discovery for a call: it served 31 in 2 s
 	toldWithin            = 6 * time.Second       // what a failed call missed counts as told by then
 	callSpare             = time.Second           // of that, for the call that brings it
-	callMost              = 3 * time.Second       // one that fails later than this waited for news, not in turn
+	callMost              = 7 * time.Second / 2   // a call is given up by then: later ones waited for news
 	tickToken, watchToken = 1, 2
 )
 
