--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -25,6 +26,10 @@
 	// serves them. Shorter waits would bring them into the rush after the news that made others' watches answer.
 	watchWait    = 10 * time.Second
 	callPatience = 3 * time.Second // how long a call that does not wait may take: discovery itself fails it by then
+	// connectPatience is how long a connection to discovery may take to come up: a call that waits for news would wait for
+	// it as long, and http.Transport makes a call whose kept connection is reset again by itself. The next call after that
+	// has to be answered 6 s after the reset.
+	connectPatience = 500 * time.Millisecond
 	// silentWatch is how much later than its wait the answer of a watch call may be. It comes in a few milliseconds, and
 	// what a watch misses that has fallen silent counts as told 2 s after the wait: by then a new call has to be answered.
 	silentWatch = 250 * time.Millisecond
@@ -156,6 +161,7 @@
 	address string
 	url     string
 	client  *http.Client
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	ctx     context.Context // ends all its calls
 	cancel  context.CancelFunc
 	held    atomic.Pointer[uint64] // revision of the list that the loop holds from it; nil: none yet
@@ -171,12 +177,19 @@
 }
 
 func newDiscovery(ctx context.Context, address string, post func(listed)) *discovery {
-	d := &discovery{address: address, url: "http://" + address + "/v1/servers", post: post,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
+	d := &discovery{address: address, url: "http://" + address + "/v1/servers", post: post, dial: (&net.Dialer{}).DialContext}
+	d.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DialContext: d.connect}}
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	return d
 }
 
+// connect opens a connection, or gives up.
+func (d *discovery) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectPatience)
+	defer cancel()
+	return d.dial(ctx, network, address)
+}
+
 // end ends all calls and closes the connections.
 func (d *discovery) end() {
 	d.cancel()
--- a/internal/proxy/virtual_test.go
+++ b/internal/proxy/virtual_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -138,24 +140,23 @@
 	return member{ID: id, HostPort: u.address, Locality: "z1", Phase: "up", Size: 1}
 }
 
-// silentDiscovery gives no answer: there is no news but what a test tells.
-type silentDiscovery struct{}
-
-func (silentDiscovery) RoundTrip(r *http.Request) (*http.Response, error) {
-	<-r.Context().Done()
-	return nil, r.Context().Err()
+// noDiscovery does not let a connection come up: there is no news but what a test tells.
+func noDiscovery(ctx context.Context, _, _ string) (net.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
 }
 
 // virtual is a loop and a front in a bubble, before upstreams within the process.
 type virtual struct {
 	*loop
+	end    context.CancelFunc
 	front  *frontend
 	ups    map[string]*memUpstream
 	gate   chan struct{} // connections to upstreams come up once it is closed
 	silent *os.File
 }
 
-func newVirtual(t *testing.T, silent *os.File, set func(*Config)) *virtual {
+func newVirtual(t *testing.T, silent *os.File, discovery func(context.Context, string, string) (net.Conn, error), set func(*Config)) *virtual {
 	t.Helper()
 	c, err := load(t, configText, nil)
 	if err != nil {
@@ -163,8 +164,9 @@
 	}
 	c.Known = listing{}
 	set(&c)
-	v := &virtual{loop: newLoop(t.Context(), &c), ups: map[string]*memUpstream{}, gate: make(chan struct{}), silent: silent}
-	v.discovery.client.Transport = silentDiscovery{}
+	ctx, end := context.WithCancel(t.Context())
+	v := &virtual{loop: newLoop(ctx, &c), end: end, ups: map[string]*memUpstream{}, gate: make(chan struct{}), silent: silent}
+	v.discovery.dial = discovery
 	v.dial.open = func(_, address string, _ time.Duration) (net.Conn, error) {
 		<-v.gate
 		return v.ups[address].dial(), nil
@@ -242,7 +244,7 @@
 		for _, leaves := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, leaves %v", name, leaves), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					v := newVirtual(t, silentPipe(t), func(c *Config) { c.Settings.Limits.SecondCopies = true })
+					v := newVirtual(t, silentPipe(t), noDiscovery, func(c *Config) { c.Settings.Limits.SecondCopies = true })
 					ours, theirs := memPipe(v.silent)
 					begin := c.meet(v, func() {
 						synctest.Wait() // the list
@@ -272,8 +274,158 @@
 					}
 					ours.Close()
 					time.Sleep(2 * lingerFor) // what hangs is given up
+					v.end()
+					time.Sleep(time.Second)
 				})
 			})
 		}
 	}
 }
+
+// memDiscovery is a discovery within the process. It has one upstream, under a revision that a test raises.
+type memDiscovery struct {
+	listener *memListener
+	mu       sync.Mutex
+	down     func(ctx context.Context) (net.Conn, error) // what a call meets; nil: an answer
+	revision uint64
+	news     chan struct{} // closed when the revision is raised, or discovery goes down
+	conns    map[net.Conn]bool
+	calls    int
+}
+
+func newMemDiscovery(t *testing.T, silent *os.File) *memDiscovery {
+	d := &memDiscovery{listener: newMemListener(silent), revision: 1, news: make(chan struct{}), conns: map[net.Conn]bool{}}
+	s := &http.Server{Handler: d}
+	go s.Serve(d.listener)
+	t.Cleanup(func() { s.Close() })
+	return d
+}
+
+func (d *memDiscovery) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	d.mu.Lock()
+	d.calls++
+	down := d.down
+	d.mu.Unlock()
+	if down != nil {
+		return down(ctx)
+	}
+	c, err := d.listener.dial()
+	if err == nil {
+		d.mu.Lock()
+		d.conns[c] = true
+		d.mu.Unlock()
+	}
+	return c, err
+}
+
+func (d *memDiscovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	news, held := d.news, r.FormValue("since") == fmt.Sprint(d.revision)
+	d.mu.Unlock()
+	if ms, _ := strconv.Atoi(r.FormValue("timeout_ms")); held && ms > 0 {
+		select {
+		case <-news:
+		case <-time.After(time.Duration(ms) * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	fmt.Fprintf(w, `{"revision":%d,"complete":true,"members":[{"id":"s-00000001","host_port":"127.0.0.1:1","phase":"up"}]}`, d.revision)
+}
+
+// lose ends all connections; calls meet down from here on.
+func (d *memDiscovery) lose(down func(context.Context) (net.Conn, error)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+	for c := range d.conns {
+		c.Close()
+		delete(d.conns, c)
+	}
+}
+
+// back makes discovery reachable, with news.
+func (d *memDiscovery) back() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = nil
+	d.revision++
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+// A balancer has the news 6 s after discovery can be reached again, however its calls have ended meanwhile: refused, given
+// up because no connection comes up, failed or reset; with no list of its discovery yet, also given up for want of an
+// answer. With one, a call that is taken and not answered is a silent watch, which has a clock of its own.
+func TestDiscoveryIsHeardInTimeAfterFailedCalls(t *testing.T) {
+	const told = 6 * time.Second
+	says := func(after time.Duration, text string) func(context.Context) (net.Conn, error) {
+		return func(context.Context) (net.Conn, error) {
+			ours, theirs := net.Pipe()
+			go func() {
+				http.ReadRequest(bufio.NewReader(theirs))
+				time.Sleep(after)
+				io.WriteString(theirs, text)
+				theirs.Close()
+			}()
+			return ours, nil
+		}
+	}
+	for name, c := range map[string]struct {
+		down   func(context.Context) (net.Conn, error)
+		silent bool
+	}{
+		"refused":       {func(context.Context) (net.Conn, error) { return nil, errRefused }, false},
+		"no connection": {func(ctx context.Context) (net.Conn, error) { return noDiscovery(ctx, "", "") }, false},
+		"failed":        {says(2*time.Second, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"), false},
+		"reset":         {says(time.Second, "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{"), false},
+		"no answer":     {says(time.Minute, ""), true},
+	} {
+		for _, young := range []bool{false, true} {
+			if c.silent && !young {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s, young %v", name, young), func(t *testing.T) {
+				for _, lasts := range []time.Duration{time.Second / 10, time.Second / 2, 4 * time.Second, 8 * time.Second, 21 * time.Second, 61 * time.Second} {
+					for seed := range uint64(4) {
+						synctest.Test(t, func(t *testing.T) {
+							d := newMemDiscovery(t, silentPipe(t))
+							if young {
+								d.lose(c.down)
+							}
+							v := newVirtual(t, d.listener.silent, d.dial, func(x *Config) {
+								x.Seed, x.Settings.Rules.AskWithin, x.Settings.Balancers = seed, 20*time.Second, 300
+								if young { // its first call comes at once, and has no list to go on from
+									x.Inherited, x.Settings.Balancers = firstInherited, 1
+								}
+							})
+							if !young {
+								time.Sleep(time.Minute)
+								want(t, "revision at first", v.revisionHeld(), 1)
+								d.lose(c.down)
+							}
+							time.Sleep(lasts)
+							d.back()
+							time.Sleep(told)
+							if got := v.revisionHeld(); got != 2 {
+								t.Errorf("%v without discovery, seed %d: the news is not heard %v after its return", lasts, seed, told)
+							}
+							v.end()
+							time.Sleep(2 * time.Minute) // the calls that still hang
+						})
+					}
+				}
+			})
+		}
+	}
+}
+
+// revisionHeld is that of the list that the loop goes by.
+func (v *virtual) revisionHeld() (revision int) {
+	done := make(chan struct{})
+	v.calls <- called{do: func(l *loop) { revision = int(l.revision) }, done: done}
+	<-done
+	return revision
+}
