--- a/internal/proxy/virtual_test.go
+++ b/internal/proxy/virtual_test.go
@@ -290,9 +290,13 @@
 	revision uint64
 	news     chan struct{} // closed when the revision is raised, or discovery goes down
 	conns    map[net.Conn]bool
-	calls    int
+	each     time.Duration // of its time for a call: calls are served in turn
+	freeAt   time.Time
 }
 
+// callWaits is how long a call may wait for its turn. Discovery works on it all the same.
+const callWaits = 2 * time.Second
+
 func newMemDiscovery(t *testing.T, silent *os.File) *memDiscovery {
 	d := &memDiscovery{listener: newMemListener(silent), revision: 1, news: make(chan struct{}), conns: map[net.Conn]bool{}}
 	s := &http.Server{Handler: d}
@@ -303,7 +307,6 @@
 
 func (d *memDiscovery) dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	d.mu.Lock()
-	d.calls++
 	down := d.down
 	d.mu.Unlock()
 	if down != nil {
@@ -321,7 +324,18 @@
 func (d *memDiscovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.mu.Lock()
 	news, held := d.news, r.FormValue("since") == fmt.Sprint(d.revision)
+	if now := time.Now(); d.freeAt.Before(now) {
+		d.freeAt = now
+	}
+	d.freeAt = d.freeAt.Add(d.each)
+	turn := time.Until(d.freeAt)
 	d.mu.Unlock()
+	if turn > callWaits {
+		time.Sleep(callWaits)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(turn)
 	if ms, _ := strconv.Atoi(r.FormValue("timeout_ms")); held && ms > 0 {
 		select {
 		case <-news:
@@ -429,3 +443,94 @@
 	<-done
 	return revision
 }
+
+// Nine in ten of the balancers that have been restarted at one moment, or replaced, are ready within 10 s: beside a
+// discovery that serves their calls in turn, and beside one that they can't reach, if they have a list from before.
+func TestRestartedBalancersAreReadyInTime(t *testing.T) {
+	const limit = 10 * time.Second
+	for name, c := range map[string]struct {
+		each  time.Duration
+		down  func(context.Context) (net.Conn, error)
+		known bool
+	}{
+		"in turn":               {60 * time.Millisecond, nil, true},
+		"in turn, with no list": {30 * time.Millisecond, nil, false},
+		"refused":               {0, func(context.Context) (net.Conn, error) { return nil, errRefused }, true},
+		"silent":                {0, func(ctx context.Context) (net.Conn, error) { return noDiscovery(ctx, "", "") }, true},
+	} {
+		for _, replaced := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, replaced %v", name, replaced), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					const balancers = 100
+					silent := silentPipe(t)
+					d := newMemDiscovery(t, silent)
+					d.each, d.down = c.each, c.down
+					ctx, stop := context.WithCancel(t.Context())
+					u := &memUpstream{address: "127.0.0.1:1", answer: okAll, silent: silent}
+					var ready atomic.Int32
+					var ended, asked sync.WaitGroup
+					for rank := range balancers {
+						x, err := load(t, configText, nil)
+						if err != nil {
+							t.Fatal(err)
+						}
+						x.Seed, x.Settings.Balancers, x.Settings.Rank = uint64(rank), balancers, rank
+						x.Settings.Rules.AskWithin = 10 * time.Second
+						if x.Known = (listing{}); c.known {
+							x.Known = listing{Revision: 1, Complete: true, Members: []member{u.member("s-00000001")}}
+						}
+						if replaced {
+							x.Inherited = firstInherited
+						}
+						front, made := newMemListener(silent), make(chan *loop, 1)
+						ended.Go(func() {
+							if err := run(ctx, x, front, nil, func(l *loop) {
+								l.discovery.dial = d.dial
+								l.dial.open = func(string, string, time.Duration) (net.Conn, error) { return u.dial(), nil }
+								made <- l
+							}); err != nil {
+								t.Error(err)
+							}
+						})
+						asked.Go(func() {
+							l := <-made
+							for start := time.Now(); time.Since(start) < limit; time.Sleep(100 * time.Millisecond) {
+								missing := make(chan struct{})
+								var lacks string
+								l.calls <- called{do: func(l *loop) { lacks = l.missing() }, done: missing}
+								<-missing
+								if lacks == "" && healthy(front) {
+									ready.Add(1)
+									break
+								}
+							}
+						})
+					}
+					asked.Wait()
+					if n := ready.Load(); n < balancers*9/10 {
+						t.Errorf("%d of %d are ready after %v", n, balancers, limit)
+					}
+					stop()
+					ended.Wait()
+					time.Sleep(time.Minute)
+				})
+			})
+		}
+	}
+}
+
+// healthy tells whether a balancer says so on a connection of its own.
+func healthy(front *memListener) bool {
+	c, err := front.dial()
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return false
+	}
+	io.Copy(io.Discard, r.Body)
+	return r.StatusCode == http.StatusOK
+}
