--- a/internal/proxy/virtual_test.go
+++ b/internal/proxy/virtual_test.go
@@ -282,6 +282,27 @@
 	}
 }
 
+// The same for a request whose body is more than can be held: nobody reads its client on until an attempt takes the body.
+func TestNothingBeginsOnceTheClientOfAHeldUploadHasGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newVirtual(t, silentPipe(t), noDiscovery, func(*Config) {})
+		close(v.gate)
+		u := v.upstream(okAll)
+		ours, theirs := memPipe(v.silent)
+		v.front.take(theirs)
+		go fmt.Fprintf(ours, "POST /checkin HTTP/1.1\r\nHost: x\r\nX-Request-Id: 1\r\nX-Class: checkin\r\nContent-Length: %d\r\n\r\n%s",
+			3*maxBody, make([]byte, 3*maxBody))
+		synctest.Wait()
+		ours.Close()
+		time.Sleep(100 * time.Millisecond)
+		v.tell(50, u.member("s-00000001"))
+		time.Sleep(10 * time.Second)
+		want(t, "begun once the client had gone", v.begun(), 0)
+		v.end()
+		time.Sleep(time.Second)
+	})
+}
+
 // memDiscovery is a discovery within the process. It has one upstream, under a revision that a test raises.
 type memDiscovery struct {
 	listener *memListener
--- a/ramp_test.go
+++ b/ramp_test.go
@@ -92,6 +92,14 @@
 	}
 }
 
+// The same with nearly all upstreams cold, under settings that allow less than those of any site that is known.
+func TestColdFleetBearsTheSumOfAllBalancers(t *testing.T) {
+	for _, c := range []warmUp{{30, 10, 8, 2, 0.2, 1500 * ms}, {30, 10, 10, 2, 0.2, 1500 * ms}} {
+		c.hold(t, false)
+		c.hold(t, true)
+	}
+}
+
 // warmUp is a fleet that serves as a part of its upstreams come back cold, and what the settings allow these.
 type warmUp struct {
 	balancers, upstreams, cold int
