--- a/balancer.go
+++ b/balancer.go
@@ -49,6 +49,7 @@
 	waitGrowth            = 2           // trials, failed connects and discovery calls are spaced by this growth
 	logEvery              = 5 * time.Second
 	callTime              = 60 * time.Millisecond // of discovery for a call: it served 31 in 2 s
+	firstCalls            = 0.55                  // of the time for a call of each: not all are new at once
 	toldWithin            = 6 * time.Second       // what a failed call missed counts as told by then
 	callSpare             = time.Second           // of that, for the call that brings it
 	callMost              = 7 * time.Second / 2   // a call is given up by then: later ones waited for news
@@ -81,8 +82,9 @@
 	b.lat = float64(shortest) / 4 // until answers tell
 	b.tick = max(s.Granularity, shortest/ticksPerAim, time.Millisecond)
 	host.SetTimer(b.tick, tickToken)
-	if s.OnRequest { // not all balancers at once, also where a release has started them together
-		host.SetTimer(time.Duration(b.rng.Int64N(int64(b.turnOfCalls())+1)), watchToken)
+	if s.OnRequest { // not all balancers at once, also where a release has started them together; yet soon: what
+		// changed while this one was down counts as told no later for that
+		host.SetTimer(time.Duration(b.turnOf()*firstCalls*float64(b.turnOfCalls())), watchToken)
 	}
 	return b, nil
 }
@@ -685,9 +687,7 @@
 			most -= now - b.askedAt
 		}
 		least := min(b.watchWait, most) / 2
-		// Each takes a part of the time of its own, as all may have failed at once.
-		_, turn := math.Modf(float64(b.s.Rank)*math.Phi + b.rng.Float64()/float64(b.s.Balancers))
-		wait := least + time.Duration(turn*float64(min(b.watchWait*3/2, most)-least))
+		wait := least + time.Duration(b.turnOf()*float64(min(b.watchWait*3/2, most)-least))
 		b.host.SetTimer(wait, watchToken)
 		b.log(now, "discovery", "discovery call failed: asking again in %v", wait)
 		return
@@ -713,6 +713,12 @@
 	b.host.Watch(true)
 }
 
+// turnOf is this balancer's own part of a time in which all call discovery: all may have begun at once.
+func (b *Balancer) turnOf() float64 {
+	_, turn := math.Modf(float64(b.s.Rank)*math.Phi + b.rng.Float64()/float64(b.s.Balancers))
+	return turn
+}
+
 // turnOfCalls is the time in which discovery, that serves calls in turn, can serve one of each balancer.
 func (b *Balancer) turnOfCalls() time.Duration {
 	return min(time.Duration(b.s.Balancers)*callTime, b.s.Rules.AskWithin/2)
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -214,3 +214,41 @@
 	}
 	return late, most
 }
+
+// What changed while a balancer was down counts as told 6 s after discovery had it, however short before that it is back. A
+// zone is back 5 s after its loss, which discovery notices 0.7 s later at the soonest; told then 1.7 s after the start,
+// with 2 s of grace. A third of the fleet starts at one moment.
+func TestRestartedBalancersHearInTimeWhatChangedBefore(t *testing.T) {
+	const inTime = 3700 * ms
+	for _, n := range []int{30, 100, 300} {
+		for seed := range uint64(10) {
+			s := settings()
+			s.Balancers, s.OnRequest = n, true
+			g := &turnRegistry{fleetClock: &fleetClock{now: time.Hour}, each: 29 * ms}
+			var all []*follower
+			for rank := range n {
+				if mixed(uint64(rank)+seed*uint64(n))%3 != 0 {
+					continue
+				}
+				f := &follower{g: g}
+				s.Rank = rank
+				b, err := New(s, seed<<16+uint64(rank), g.now, f)
+				if err != nil {
+					t.Fatal(err)
+				}
+				f.b = b
+				all = append(all, f)
+			}
+			g.runUntil(time.Hour + inTime)
+			late := 0
+			for _, f := range all {
+				if !f.watches {
+					late++
+				}
+			}
+			if late > 0 {
+				t.Errorf("%d balancers, seed %d: %d of %d have no list %v after they started", n, seed, late, len(all), inTime)
+			}
+		}
+	}
+}
