--- a/api.go
+++ b/api.go
@@ -10,7 +10,10 @@
 //
 // Events arrive in order: a request's Request first, then one Outcome for each Send, at most one Gone. An Outcome may
 // follow the request's final answer. Ids that are not held are passed over. Memory is bounded by what the owner has
-// open: requests, attempts and listed upstreams.
+// open (requests, attempts and listed upstreams) and by the classes and tenants of the settings.
+//
+// Settings change while it runs: NewPlan checks them on any goroutine, and Reconfigure puts the plan in force. A request
+// that has been taken ends by the terms under which it was read. A class or tenant that is gone takes nothing new.
 //
 // Every request gets exactly one final answer: a successful Outcome, Refuse or Fail. Refuse promises the client that
 // another try is harmless.
@@ -100,7 +103,7 @@
 	ReportProbes            // within probe results only
 )
 
-// Settings is what a Balancer is told at its start.
+// Settings is what a Balancer is told at its start, and again whenever they change.
 type Settings struct {
 	Zone           string
 	Balancers      int // instances in this tier
@@ -153,7 +156,8 @@
 	ID     RequestID
 	Budget time.Duration // the client gives up this try after it
 	Class  string        // a name from Settings.Classes
-	Tenant string        // a name from Settings.Tenants, or empty
+	Terms  *Terms        // of the class, as it was read by; nil: those in force
+	Tenant string        // a name from Settings.Tenants, or empty; where there are none, any
 	Key    uint64        // subject of the request, if HasKey
 	HasKey bool
 	Retry  bool
@@ -249,6 +253,7 @@
 	Probed(now time.Duration, p ProbeResult)
 	Timer(now time.Duration, token uint64)
 	Maintain(now time.Duration, id UpstreamID, out bool) // operators leave an upstream out, or use it again
+	Reconfigure(now time.Duration, p *Plan, c Change)    // p is in force from now on, and c what it changes
 }
 
 var _ Events = (*Balancer)(nil)
--- a/balancer.go
+++ b/balancer.go
@@ -1,5 +1,6 @@
-// The decisions of clayladder: every rule and every constant is in this file. Its interface (types, events,
-// actions) is in api.go, what it keeps in state.go; docs/postmortems.md tells why much of it is as it is.
+// The decisions of clayladder: every constant and most rules are in this file, those over quotas, budgets and
+// changed settings in state.go. The interface (types, events, actions) is in api.go, the check of settings in
+// settings.go; docs/postmortems.md tells why much of it is as it is.
 
 package clayladder
 
@@ -47,6 +48,7 @@
 	budgetVotes           = 64          // tries of other budgets that it takes to unlearn the usual one, at most
 	ticksPerAim           = 16          // housekeeping runs this often in the shortest aim
 	waitGrowth            = 2           // trials, failed connects and discovery calls are spaced by this growth
+	forgetMost            = 256         // names that are forgotten in a tick, a change
 	logEvery              = 5 * time.Second
 	callTime              = 60 * time.Millisecond // of discovery for a call: it served 31 in 2 s
 	tickToken, watchToken = 1, 2
@@ -54,34 +56,30 @@
 
 // New returns a Balancer, or an error that names the setting that is wrong.
 func New(s Settings, seed uint64, now time.Duration, host Host) (*Balancer, error) {
-	if err := s.validate(host); err != nil {
+	if host == nil {
+		return nil, bad("Host is nil")
+	}
+	p, err := NewPlan(s, func() {})
+	if err != nil {
 		return nil, err
 	}
-	b := &Balancer{s: s, host: host, rng: rand.New(rand.NewPCG(seed, 0)), classes: map[string]*class{},
-		tenants: map[string]*tenant{}, safest: Unsafe, requests: map[RequestID]*request{},
+	return NewWith(p, seed, now, host), nil
+}
+
+// NewWith returns a Balancer that goes by a plan, which others may share.
+func NewWith(p *Plan, seed uint64, now time.Duration, host Host) *Balancer {
+	b := &Balancer{host: host, rng: rand.New(rand.NewPCG(seed, 0)), classes: map[string]*habits{},
+		tenants: map[string]*tenant{}, requests: map[RequestID]*request{},
 		byID: map[UpstreamID]*upstream{}, off: map[UpstreamID]bool{}, logged: map[string]time.Duration{},
 		stepAt: now, tightAt: now, doubt: 1}
-	shortest := s.Classes[0].Aim
-	for _, c := range s.Classes {
-		b.classes[c.Name] = &class{Class: c, stake: 1}
-		for _, x := range s.Classes {
-			if x.Worth > 0 && x.Worth < c.Worth {
-				b.classes[c.Name].stake = min(b.classes[c.Name].stake, x.Worth/c.Worth)
-			}
-		}
-		b.safest, shortest = min(b.safest, c.Repeat), min(shortest, c.Aim)
-	}
-	for _, t := range s.Tenants {
-		b.tenants[t.Name] = &tenant{quota: t.Quota, rate: t.Quota / float64(s.Balancers), at: now.Seconds()}
-	}
+	b.adopt(p)
 	b.gather(now)
-	b.lat = float64(shortest) / 4 // until answers tell
-	b.tick = max(s.Granularity, shortest/ticksPerAim, time.Millisecond)
+	b.lat = float64(p.shortest) / 4 // until answers tell
 	host.SetTimer(b.tick, tickToken)
-	if s.OnRequest { // not all balancers at once, also where a release has started them together
+	if b.s.OnRequest { // not all balancers at once, also where a release has started them together
 		host.SetTimer(time.Duration(b.rng.Int64N(int64(b.turnOfCalls())+1)), watchToken)
 	}
-	return b, nil
+	return b
 }
 
 // --- Request ledger ---
@@ -110,11 +108,11 @@
 
 // Request takes a client's request.
 func (b *Balancer) Request(now time.Duration, q Request) {
-	c := b.classes[q.Class]
-	if c == nil { // a class that the settings lack; never sent, so a retry is harmless
+	if b.plan.classes[q.Class] == nil || !b.plan.knows(q.Tenant) { // never sent, so a retry is harmless
 		b.host.Refuse(q.ID, 0) // and it helps as little later
 		return
 	}
+	c := b.class(q.Class, q.Terms)
 	r := &request{Request: q, class: c, units: cmp.Or(c.lat/b.lat, 1), deadline: now + q.Budget,
 		worth: c.Worth, coming: q.Open}
 	if q.Cost > 0 {
@@ -124,8 +122,7 @@
 	if !b.s.WorthByWork {
 		r.worth /= r.units
 	}
-	if t := b.tenants[q.Tenant]; t != nil && t.over(now) {
-		r.over = true
+	if r.over = b.over(r, now); r.over {
 		r.worth *= b.s.OverShareWorth
 	}
 	// A try of the usual budget may be a first one. Any other was given what is left of the deadline, a last one
@@ -211,7 +208,7 @@
 // finish notes that r has its answer, its stream, or nobody who waits. What else is out is not cancelled: the
 // upstream would work on all the same, and a place given up for it would be filled on top of that work.
 func (b *Balancer) finish(r *request) {
-	if t := b.tenants[r.Tenant]; t != nil && !r.done && !r.over && len(r.attempts) == 0 {
+	if t := r.tenant; t != nil && !r.done && !r.over && len(r.attempts) == 0 {
 		t.level = max(0, t.level-1) // it was given nothing: its next try is the same request
 	}
 	if r.done = true; r.out == 0 {
@@ -457,9 +454,7 @@
 			weight *= 2
 		}
 		follow(&b.part, min(own/all, 1), weight)
-		for _, t := range b.tenants {
-			t.rate = t.quota * max(b.part*min(mine/max(ring, 1), 1), 1/float64(b.s.Balancers))
-		}
+		b.quotaPart = b.part * min(mine/max(ring, 1), 1)
 	}
 }
 
@@ -778,6 +773,7 @@
 	if now-b.stepAt >= bandPeriod {
 		b.step(now)
 	}
+	b.forget()
 	ask := b.s.Reports == ReportProbes && b.s.Limits.Probes
 	for _, u := range b.near {
 		b.quiet(u, now)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -407,11 +407,11 @@
 	}
 	for _, f := range []float64{math.NaN(), math.Inf(1), -1, 0} {
 		s := settings()
-		if s.Rules.TipMultiple = f; s.validate(&recorder{}) == nil {
+		if s.Rules.TipMultiple = f; s.validate() == nil {
 			t.Errorf("TipMultiple %v is taken", f)
 		}
 		s = settings()
-		if s.Rules.ColdFrom = f; s.validate(&recorder{}) == nil {
+		if s.Rules.ColdFrom = f; s.validate() == nil {
 			t.Errorf("ColdFrom %v is taken", f)
 		}
 	}
@@ -567,7 +567,7 @@
 	u := b.ups[3]
 	u.least, u.calm = 0, 0
 	b.step(time.Hour + bandPeriod)
-	a := &attempt{r: &request{class: b.classes["write"], units: 1}, up: u}
+	a := &attempt{r: &request{class: b.class("write", nil), units: 1}, up: u}
 	b.learn(a, Outcome{Latency: 200 * ms, Status: OK}, time.Hour+2*bandPeriod)
 	if u.bound >= b.start {
 		t.Errorf("bound %v after an answer three times as slow as the fleet's least", u.bound)
@@ -621,7 +621,7 @@
 		u := b.ups[0]
 		u.mean, u.readings, u.least, b.tightAt = c.use, bandWindow, float64(50*ms), time.Hour
 		before := u.bound
-		b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: 50 * ms, Status: OK}, time.Hour)
+		b.learn(&attempt{r: &request{class: b.class("write", nil), units: 1}, up: u}, Outcome{Latency: 50 * ms, Status: OK}, time.Hour)
 		if (u.bound > before) != c.grows {
 			t.Errorf("use %v: bound %v, then %v", c.use, before, u.bound)
 		}
@@ -638,7 +638,7 @@
 	b.step(time.Hour)
 	u := b.ups[0]
 	u.weight, u.bound, b.tightAt = 3, 2, time.Hour
-	b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: 55 * ms, Status: OK}, time.Hour)
+	b.learn(&attempt{r: &request{class: b.class("write", nil), units: 1}, up: u}, Outcome{Latency: 55 * ms, Status: OK}, time.Hour)
 	if u.bound <= 2 {
 		t.Errorf("bound %v, want more than 2", u.bound)
 	}
@@ -653,7 +653,7 @@
 	for i := range 30 {
 		lat := []time.Duration{190, 60, 60, 60}[i%4] * ms
 		now := 2*time.Hour + time.Duration(i)*time.Second
-		b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: lat, Status: OK}, now)
+		b.learn(&attempt{r: &request{class: b.class("write", nil), units: 1}, up: u}, Outcome{Latency: lat, Status: OK}, now)
 		if i > 8 && u.bound < b.start {
 			t.Fatalf("answer %d after %v: bound %v, want %v", i, lat, u.bound, b.start)
 		}
@@ -670,7 +670,7 @@
 	answers := func(now time.Duration) {
 		for range 50 {
 			b.tightAt = now
-			b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: 10 * ms, Status: OK}, now)
+			b.learn(&attempt{r: &request{class: b.class("write", nil), units: 1}, up: u}, Outcome{Latency: 10 * ms, Status: OK}, now)
 		}
 	}
 	answers(time.Hour)
@@ -699,7 +699,7 @@
 		b, _ := start(t, settings(), fleet(1))
 		u := b.ups[0]
 		u.lat, u.units, u.slow, u.calm = float64(c.lat), 1, float64(c.calm), float64(c.calm)
-		b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: c.lat, Status: OK}, 2*time.Hour)
+		b.learn(&attempt{r: &request{class: b.class("write", nil), units: 1}, up: u}, Outcome{Latency: c.lat, Status: OK}, 2*time.Hour)
 		if (u.bound < b.start) != c.short {
 			t.Errorf("%s: bound %v, at first %v", c.name, u.bound, b.start)
 		}
@@ -802,7 +802,7 @@
 		u := b.ups[0]
 		u.readings, u.mean, u.least, u.slow, u.calm = bandWindow, c.use, float64(30*ms), float64(60*ms), float64(60*ms)
 		b.tightAt = time.Hour
-		a := &attempt{r: &request{class: b.classes["write"], units: 1}, up: u}
+		a := &attempt{r: &request{class: b.class("write", nil), units: 1}, up: u}
 		b.learn(a, Outcome{Latency: 60 * ms, Status: OK}, time.Hour) // twice the least
 		if (u.bound > b.start) != c.grows {
 			t.Errorf("%+v: bound %v, at first %v", c, u.bound, b.start)
@@ -939,7 +939,7 @@
 		b, _ := start(t, s, fleet(1))
 		u := b.ups[0]
 		u.readings, u.mean, u.lat, u.units, u.slow, u.calm = 1, c.use, float64(250*ms), 1, float64(60*ms), float64(60*ms)
-		a := &attempt{r: &request{class: b.classes["write"], units: 1}, up: u}
+		a := &attempt{r: &request{class: b.class("write", nil), units: 1}, up: u}
 		b.learn(a, Outcome{Latency: 250 * ms, Status: OK}, 2*time.Hour)
 		if (u.bound < b.start) != c.cut {
 			t.Errorf("%+v: bound %v, at first %v", c, u.bound, b.start)
@@ -954,7 +954,7 @@
 	u.bound, u.lat = 0.2, float64(100*ms)
 	answer := func(sent time.Duration) {
 		u.bound = 0.2
-		a := &attempt{r: &request{class: b.classes["write"], units: 1}, up: u, sentAt: sent}
+		a := &attempt{r: &request{class: b.class("write", nil), units: 1}, up: u, sentAt: sent}
 		b.learn(a, Outcome{Latency: 100 * ms, Status: Error}, sent+100*ms)
 	}
 	now := 2 * time.Hour // idle for long
@@ -974,7 +974,7 @@
 	b, _ := start(t, s, fleet(1))
 	u := b.ups[0]
 	for i, lat := range []time.Duration{100, 110, 100, 90, 10, 10} {
-		a := &attempt{r: &request{class: b.classes["write"], units: 1}, up: u}
+		a := &attempt{r: &request{class: b.class("write", nil), units: 1}, up: u}
 		b.learn(a, Outcome{Latency: lat * ms, Status: OK}, time.Hour+time.Duration(i)*time.Second)
 	}
 	if p := b.patience(u, 1); p < 200*ms {
@@ -994,7 +994,7 @@
 		for now := time.Hour; now < time.Hour+20*bandPeriod; now += bandPeriod {
 			b.tightAt = now
 			for range 50 {
-				b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: 10 * ms, Status: OK}, now)
+				b.learn(&attempt{r: &request{class: b.class("write", nil), units: 1}, up: u}, Outcome{Latency: 10 * ms, Status: OK}, now)
 			}
 			b.step(now)
 		}
--- /dev/null
+++ b/reload_test.go
@@ -0,0 +1,307 @@
+package clayladder
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// plan returns the plan of settings that change has changed.
+func plan(t testing.TB, s Settings, change func(*Settings)) *Plan {
+	t.Helper()
+	s.Classes, s.Tenants = slices.Clone(s.Classes), slices.Clone(s.Tenants)
+	change(&s)
+	p, err := NewPlan(s, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// reconfigure puts settings in force that change has changed.
+func reconfigure(t testing.TB, b *Balancer, now time.Duration, s Settings, change func(*Settings)) Change {
+	t.Helper()
+	p := plan(t, s, change)
+	c := p.Since(b.plan, func() {})
+	b.Reconfigure(now, p, c)
+	return c
+}
+
+// many returns settings of many classes and tenants.
+func many(classes, tenants int) Settings {
+	s := settings()
+	for i := range classes {
+		s.Classes = append(s.Classes, Class{Name: fmt.Sprint("c", i), Aim: 300 * ms, Deadline: time.Second, Worth: float64(i % 9)})
+	}
+	for i := range tenants {
+		s.Tenants = append(s.Tenants, Tenant{Name: fmt.Sprint("t", i), Quota: 2})
+	}
+	return s
+}
+
+// A class and a tenant that come with new settings are served at once, without a restart.
+func TestWhatIsAddedIsServed(t *testing.T) {
+	b, h := start(t, settings(), fleet(4))
+	q := Request{ID: 1, Class: "new", Tenant: "newcomer", Budget: time.Second}
+	b.Request(time.Hour, q)
+	if h.count("refuse id=1") != 1 {
+		t.Errorf("before: %v", h.lines)
+	}
+	c := reconfigure(t, b, time.Hour, settings(), func(s *Settings) {
+		s.Classes = append(s.Classes, Class{Name: "new", Aim: 300 * ms, Deadline: time.Second, Worth: 1})
+		s.Tenants = append(s.Tenants, Tenant{Name: "newcomer", Quota: 1})
+		s.Tenants[0].Quota = 1
+	})
+	q.ID = 2
+	if b.Request(time.Hour, q); h.count("send id=2") != 1 {
+		t.Errorf("after: %v", h.lines)
+	}
+	if c.Classes != (Counts{Added: 1}) || c.Tenants != (Counts{Added: 1, Changed: 1}) {
+		t.Errorf("counted as %+v, %+v", c.Classes, c.Tenants)
+	}
+}
+
+// A class or tenant that is gone takes nothing new. What was taken goes on by its own terms: it is sent again where its
+// class may run twice, and its work still counts.
+func TestWhatIsGoneTakesNothingNew(t *testing.T) {
+	b, h := start(t, settings(), fleet(4))
+	b.Request(time.Hour, Request{ID: 1, Class: "read", Tenant: "small", Budget: time.Second})
+	c := reconfigure(t, b, time.Hour, settings(), func(s *Settings) { s.Classes, s.Tenants = s.Classes[1:], s.Tenants[:1] })
+	if c.Classes != (Counts{Gone: 1}) || c.Tenants != (Counts{Gone: 1}) {
+		t.Errorf("counted as %+v, %+v", c.Classes, c.Tenants)
+	}
+	b.Request(time.Hour, Request{ID: 2, Class: "read", Budget: time.Second})
+	b.Request(time.Hour, Request{ID: 3, Class: "write", Tenant: "small", Budget: time.Second})
+	b.Request(time.Hour, Request{ID: 4, Class: "write", Tenant: "big", Budget: time.Second})
+	if h.count("refuse id=2") != 1 || h.count("refuse id=3") != 1 || h.count("send id=4") != 1 {
+		t.Errorf("after: %v", h.lines)
+	}
+	first := b.requests[1].attempts[0].up.ID
+	b.Outcome(time.Hour+ms, Outcome{ID: 1, Upstream: first, Latency: ms, Status: Reset})
+	if h.count("send id=1") != 2 {
+		t.Errorf("the request in hand is not sent again: %v", h.lines)
+	}
+	second := b.requests[1].attempts[1].up.ID
+	b.Outcome(time.Hour+2*ms, Outcome{ID: 1, Upstream: second, Attempt: 1, Latency: ms, Status: OK, Closed: true})
+	if len(b.requests) != 1 || h.count("refuse id=1")+h.count("fail id=1") != 0 {
+		t.Errorf("%d requests are kept: %v", len(b.requests), h.lines)
+	}
+}
+
+// A request's repeats, window and deadline are those under which it was read, whatever its class has become since: also one
+// that is read before the change and heard after it.
+func TestRequestKeepsItsTerms(t *testing.T) {
+	for _, heardAfter := range []bool{false, true} {
+		for _, c := range []struct {
+			class  string
+			change func(*Class)
+			sends  int
+		}{
+			{"write", func(c *Class) { c.Repeat, c.Memory = Keyed, time.Minute }, 1}, // upstreams have no key to drop it by
+			{"read", func(c *Class) { c.Repeat = Unsafe }, 2},
+			{"keyed", func(c *Class) { c.Memory = time.Hour }, 1},      // 500 ms later, of a window of 400 ms
+			{"read", func(c *Class) { c.Aim, c.Deadline = ms, ms }, 2}, // it is given a second all the same
+		} {
+			b, h := start(t, settings(), fleet(1))
+			q := Request{ID: 1, Class: c.class, Budget: time.Second, Terms: b.plan.Terms(c.class)}
+			if !heardAfter {
+				b.Request(time.Hour, q)
+			}
+			reconfigure(t, b, time.Hour, settings(), func(s *Settings) {
+				for i := range s.Classes {
+					if s.Classes[i].Name == c.class {
+						c.change(&s.Classes[i])
+					}
+				}
+			})
+			if heardAfter {
+				b.Request(time.Hour, q)
+			}
+			if h.count("send id=1") != 1 {
+				t.Fatalf("%+v: not sent: %v", c, h.lines)
+			}
+			b.Outcome(time.Hour+500*ms, Outcome{ID: 1, Upstream: 1, Latency: 500 * ms, Status: Error})
+			b.ups[0].freeAt = 0
+			b.dispatch(time.Hour + 500*ms)
+			if n := h.count("send id=1"); n != c.sends {
+				t.Errorf("%s, heard after the change %v: %d sends, want %d: %v", c.class, heardAfter, n, c.sends, h.lines)
+			}
+		}
+	}
+}
+
+// Bands, bounds, latencies, cold budgets and tenants' levels are kept, also of classes and tenants whose terms change.
+func TestReconfigureKeepsWhatIsLearnt(t *testing.T) {
+	b, _ := start(t, settings(), fleet(4))
+	now := time.Hour
+	for i := range RequestID(400) {
+		now += 5 * ms
+		b.Request(now, Request{ID: i + 1, Class: "write", Tenant: "small", Budget: time.Second})
+		if r := b.requests[i+1]; r != nil && r.out == 1 {
+			b.Outcome(now, Outcome{ID: i + 1, Upstream: r.attempts[0].up.ID, Latency: 50 * ms, Status: OK, Closed: true,
+				Load: Load{Fields: HasUtil, Util: float64(i%7) / 10}})
+		}
+		b.Timer(now, tickToken)
+	}
+	habits, level, ups := *b.classes["write"], *b.tenants["small"], []upstream{}
+	for _, u := range b.ups {
+		ups = append(ups, *u)
+	}
+	if habits.lat == 0 || level.level < 1 || ups[0].readings == 0 {
+		t.Fatal("nothing was learnt")
+	}
+	lat, carry, part, turn := b.lat, b.carry, b.part, b.turn
+	reconfigure(t, b, now, settings(), func(s *Settings) {
+		s.Classes[2].Worth, s.Tenants[1].Quota, s.Limits.MaxAttempts, s.OverShareWorth = 7, 40, 2, 0.5
+	})
+	for i, u := range b.ups {
+		was := ups[i]
+		if u.mean != was.mean || u.dev != was.dev || u.bound != was.bound || u.lat != was.lat || u.spent != was.spent ||
+			u.factor != was.factor || u.due != was.due || u.readings != was.readings {
+			t.Errorf("upstream %d: %+v, was %+v", u.ID, u, was)
+		}
+	}
+	if *b.classes["write"] != habits || *b.tenants["small"] != level || b.lat != lat || b.carry != carry || b.part != part || b.turn != turn {
+		t.Error("what was learnt of classes, tenants or the fleet has changed")
+	}
+	b.Request(now, Request{ID: 1000, Class: "write", Budget: time.Second})
+	if r := b.requests[1000]; r == nil || r.class.Worth != 7 || r.class.lat != habits.lat {
+		t.Errorf("the new terms do not hold: %+v", r)
+	}
+}
+
+// Quotas, what traffic over them is worth, limits and the balancer's place in the fleet are those of the plan in force.
+func TestChangedFiguresHold(t *testing.T) {
+	b, h := start(t, settings(), fleet(60))
+	over := func() (n int) {
+		b.tenants = map[string]*tenant{}
+		for range 60 {
+			if b.over(&request{Request: Request{Tenant: "small"}}, time.Hour) {
+				n++
+			}
+		}
+		return n
+	}
+	before := over()
+	reconfigure(t, b, time.Hour, settings(), func(s *Settings) { s.Tenants[1].Quota = 60 })
+	if after := over(); before <= after || after != 60-40 { // 30 a second and two deviations: 40.95
+		t.Errorf("of 60 at once %d were over a quota of 20, %d are over one of 60", before, after)
+	}
+	reconfigure(t, b, time.Hour, settings(), func(s *Settings) { s.Limits.MaxAttempts = 1 })
+	b.Request(time.Hour, Request{ID: 1, Class: "read", Budget: time.Second})
+	b.Outcome(time.Hour+ms, Outcome{ID: 1, Upstream: b.requests[1].attempts[0].up.ID, Latency: ms, Status: Error})
+	if h.count("send id=1") != 1 || h.count("refuse id=1") != 1 {
+		t.Errorf("one attempt is allowed: %v", h.lines)
+	}
+	members := func() (n int) {
+		for _, u := range b.ups {
+			if u.member {
+				n++
+			}
+		}
+		return n
+	}
+	if n := members(); n != 60 {
+		t.Fatalf("of two balancers each uses %d of 60", n)
+	}
+	reconfigure(t, b, time.Hour, settings(), func(s *Settings) { s.Balancers, s.Rank = 80, 7 })
+	if n := members(); n > 10 {
+		t.Errorf("of 80 balancers each uses %d of 60", n)
+	}
+}
+
+// What was learnt of classes and tenants that are gone is forgotten, some names a tick. What is back before its turn keeps all.
+func TestGoneIsForgottenInPortions(t *testing.T) {
+	s := many(400, 2000)
+	b, _ := start(t, s, fleet(4))
+	for i, c := range s.Classes {
+		b.class(c.Name, nil).lat = float64(i + 1)
+	}
+	for _, x := range s.Tenants {
+		b.over(&request{Request: Request{Tenant: x.Name}}, time.Hour)
+	}
+	few := func(s *Settings) { s.Classes, s.Tenants = s.Classes[:3], s.Tenants[:2] }
+	reconfigure(t, b, time.Hour, s, few)
+	learnt := func() int { return len(b.classes) + len(b.tenants) }
+	all := learnt()
+	for i := 1; i <= 3; i++ {
+		b.Timer(time.Hour+time.Duration(i)*b.tick, tickToken)
+		if gone := all - learnt(); gone > i*forgetMost || gone < i*forgetMost-2 {
+			t.Errorf("%d names forgotten after %d ticks of %d each", gone, i, forgetMost)
+		}
+	}
+	level := *b.tenants["t0"]
+	reconfigure(t, b, time.Hour, s, func(*Settings) {}) // all are back
+	back := learnt()
+	for i := range 20 {
+		b.Timer(time.Hour+time.Duration(i+4)*b.tick, tickToken)
+	}
+	if learnt() != back || *b.tenants["t0"] != level || len(b.gone) > 0 {
+		t.Errorf("%d names are known, %d were as they came back; %d changes left", learnt(), back, len(b.gone))
+	}
+	reconfigure(t, b, time.Hour, s, few)
+	for i := range 20 {
+		b.Timer(time.Hour+time.Duration(i+24)*b.tick, tickToken)
+	}
+	if len(b.classes) > 3 || len(b.tenants) > 2 || len(b.gone) > 0 {
+		t.Errorf("%d classes and %d tenants are remembered of 3 and 2", len(b.classes), len(b.tenants))
+	}
+}
+
+// The loop's part of a reload does not grow with what the settings hold: nothing is allocated, copied or gone through.
+func TestReconfigureIsASwap(t *testing.T) {
+	s := many(17000, 72000)
+	b, h := start(t, s, fleet(4))
+	one := b.plan
+	two := plan(t, s, func(s *Settings) { s.Tenants[500].Quota = 3 })
+	there, back := two.Since(one, func() {}), one.Since(two, func() {})
+	if there.Tenants != (Counts{Changed: 1}) || there.Classes != (Counts{}) {
+		t.Fatalf("counted as %+v", there)
+	}
+	n := len(h.lines)
+	if got := testing.AllocsPerRun(1000, func() {
+		b.Reconfigure(time.Hour, two, there)
+		b.Reconfigure(time.Hour, one, back)
+	}); got > 0 {
+		t.Errorf("%v allocations", got)
+	}
+	if len(b.classes)+len(b.tenants)+len(b.gone) > 0 || len(h.lines) != n {
+		t.Errorf("the swap has touched %d classes, %d tenants, and asked for %v", len(b.classes), len(b.tenants), h.lines[n:])
+	}
+	// One swap passes over nothing: a thousand take far less than one look at each name would, a thousand times.
+	begin := time.Now()
+	sum := 0
+	for name := range one.tenants {
+		sum += len(name)
+	}
+	pass := time.Since(begin)
+	begin = time.Now()
+	for range 1000 {
+		b.Reconfigure(time.Hour, two, there)
+	}
+	if swaps := time.Since(begin); swaps > 100*pass {
+		t.Errorf("1,000 swaps took %v, one pass over the tenants (%d) %v", swaps, sum, pass)
+	}
+}
+
+// The work of a plan grows as the classes do. It was a square: 473 ms for 17,000.
+func TestPlanIsLinear(t *testing.T) {
+	fastest := func(classes int) time.Duration {
+		s, best := many(classes, 0), time.Hour
+		for range 7 {
+			begin, steps := time.Now(), 0
+			if _, err := NewPlan(s, func() { steps++ }); err != nil {
+				t.Fatal(err)
+			}
+			best = min(best, time.Since(begin))
+			if steps != 2*len(s.Classes)+len(s.Tenants) {
+				t.Fatalf("%d steps for %d classes", steps, classes)
+			}
+		}
+		return best
+	}
+	if small, large := fastest(1000), fastest(16000); large > 64*small { // a square takes 256 times as long
+		t.Errorf("%v for 1,000 classes, %v for 16,000", small, large)
+	}
+}
--- a/service_test.go
+++ b/service_test.go
@@ -78,7 +78,7 @@
 		b.Timer(now, tickToken)
 		for k := range 3 {
 			id := RequestID(3*i + k + 1)
-			b.Request(now, Request{ID: id, Class: "write", Tenant: "none", Key: uint64(id), HasKey: true, Budget: 300 * ms})
+			b.Request(now, Request{ID: id, Class: "write", Tenant: []string{"", "small", "big"}[k], Key: uint64(id), HasKey: true, Budget: 300 * ms})
 			if r := b.requests[id]; r != nil && r.out == 1 {
 				b.Outcome(now, Outcome{ID: id, Upstream: r.attempts[0].up.ID, Latency: 50 * ms, Status: OK, Closed: true})
 			}
@@ -137,16 +137,16 @@
 
 // A tenant that asks for twice its quota is over it with half of its requests, however long that lasts.
 func TestTenantOverItsQuotaKeepsItsShare(t *testing.T) {
-	a, within := &tenant{rate: 50}, 0
+	a, within := &tenant{}, 0
 	for now := time.Duration(0); now < 60*time.Second; now += 10 * ms {
-		if !a.over(now) && now >= 30*time.Second {
+		if !a.over(now, 50) && now >= 30*time.Second {
 			within++
 		}
 	}
 	if within < 1495 || within > 1505 {
 		t.Errorf("%d of 3000 requests are within a quota of 1500", within)
 	}
-	if later := 61 * time.Second; a.over(later) {
+	if later := 61 * time.Second; a.over(later, 50) {
 		t.Error("over the quota a second after the last request")
 	}
 }
@@ -224,8 +224,8 @@
 		part   float64
 	}{{"alone", 0, 1}, {"two alike", 20, 0.5}, {"one with few clients", 60, 0.5}} {
 		periods(40, c.others)
-		if math.Abs(b.start-2*c.part*even) > 0.01 || math.Abs(b.tenants["small"].rate-30*c.part) > 0.1 {
-			t.Errorf("%s: bounds from %v, quota %v; want %v, %v", c.name, b.start, b.tenants["small"].rate, 2*c.part*even, 30*c.part)
+		if math.Abs(b.start-2*c.part*even) > 0.01 || math.Abs(b.rate(30)-30*c.part) > 0.1 {
+			t.Errorf("%s: bounds from %v, quota %v; want %v, %v", c.name, b.start, b.rate(30), 2*c.part*even, 30*c.part)
 		}
 	}
 	for _, u := range b.ups {
@@ -363,17 +363,17 @@
 		b.step(now)
 	}
 	used := float64(len(b.near)) / 60
-	if got, want := b.tenants["big"].rate, 800*0.2*used; used > 0.2 || math.Abs(got-want) > want/20 {
+	if got, want := b.rate(800), 800*0.2*used; used > 0.2 || math.Abs(got-want) > want/20 {
 		t.Errorf("rate %.1f of a quota of 800 at a fifth of %.0f%% of the servers, want %.1f", got, 100*used, want)
 	}
 }
 
 // A quota split over many balancers is a few requests a second: chance alone passed it often.
 func TestSmallQuotaLeavesRoomForChance(t *testing.T) {
-	rng, u, now, over := rand.New(rand.NewPCG(1, 2)), tenant{rate: 2}, time.Duration(0), 0
+	rng, u, now, over := rand.New(rand.NewPCG(1, 2)), tenant{}, time.Duration(0), 0
 	for range 2000 { // 1.6 a second, by chance
 		now += time.Duration(rng.ExpFloat64() / 1.6 * float64(time.Second))
-		if u.over(now) {
+		if u.over(now, 2) {
 			over++
 		}
 	}
@@ -383,7 +383,7 @@
 	over = 0
 	for range 2000 { // three times the quota
 		now += time.Duration(rng.ExpFloat64() / 6 * float64(time.Second))
-		if u.over(now) {
+		if u.over(now, 2) {
 			over++
 		}
 	}
@@ -397,10 +397,10 @@
 	s := settings()
 	s.Classes[0].Worth = 0
 	b, _ := start(t, s, fleet(1))
-	if x := b.classes["read"].stake; x != 1 {
+	if x := b.plan.Terms("read").stake; x != 1 {
 		t.Errorf("stake %v of a class worth nothing", x)
 	}
-	if x := b.classes["keyed"].stake; x != s.Classes[2].Worth/s.Classes[1].Worth {
+	if x := b.plan.Terms("keyed").stake; x != s.Classes[2].Worth/s.Classes[1].Worth {
 		t.Errorf("stake %v beside a class worth nothing", x)
 	}
 }
--- a/settings.go
+++ b/settings.go
@@ -4,9 +4,10 @@
 	"errors"
 	"fmt"
 	"math"
+	"time"
 )
 
-// ErrSettings is wrapped by every error that New returns for its settings.
+// ErrSettings is wrapped by every error that New and NewPlan return for settings.
 var ErrSettings = errors.New("bad settings")
 
 // bad reports a setting that is missing or out of range.
@@ -17,11 +18,114 @@
 // amount tells whether x is a finite figure that is not negative.
 func amount(x float64) bool { return x >= 0 && !math.IsInf(x, 1) }
 
-// validate names what is missing or out of range.
-func (s Settings) validate(host Host) error {
-	if host == nil {
-		return bad("Host is nil")
+// Plan is settings that have been checked, with what is derived from them. It never changes, so any number of Balancers and
+// goroutines may share it.
+type Plan struct {
+	s        Settings // without Classes and Tenants
+	classes  map[string]*Terms
+	tenants  map[string]float64 // quotas
+	safest   Repeat
+	shortest time.Duration // aim
+	longest  time.Duration // deadline
+}
+
+// NewPlan checks settings and makes a plan of them, or an error that names the setting that is wrong. It may be called on
+// any goroutine. It calls step after each small part of the work, which grows as the classes and tenants do.
+func NewPlan(s Settings, step func()) (*Plan, error) {
+	if err := s.validate(); err != nil {
+		return nil, err
+	}
+	p := &Plan{s: s, classes: map[string]*Terms{}, tenants: map[string]float64{}, safest: Unsafe, shortest: s.Classes[0].Aim}
+	p.s.Classes, p.s.Tenants = nil, nil
+	least := math.Inf(1) // worth over nought
+	for _, c := range s.Classes {
+		if p.classes[c.Name] != nil {
+			return nil, bad("class %q is set twice", c.Name)
+		} else if err := c.validate(); err != nil {
+			return nil, err
+		}
+		p.classes[c.Name] = &Terms{Class: c}
+		p.safest, p.shortest, p.longest = min(p.safest, c.Repeat), min(p.shortest, c.Aim), max(p.longest, c.Deadline)
+		if c.Worth > 0 {
+			least = min(least, c.Worth)
+		}
+		step()
+	}
+	for _, c := range s.Classes {
+		p.classes[c.Name].stake = stake(c.Worth, least)
+		step()
+	}
+	for _, t := range s.Tenants {
+		if _, twice := p.tenants[t.Name]; twice || !amount(t.Quota) {
+			return nil, bad("tenant %q is set twice or has a Quota that is negative or not finite", t.Name)
+		}
+		p.tenants[t.Name] = t.Quota
+		step()
 	}
+	return p, nil
+}
+
+// Settings returns what the plan was made of but for the classes and tenants.
+func (p *Plan) Settings() Settings { return p.s }
+
+// Terms returns the terms of a class; nil: it is none.
+func (p *Plan) Terms(class string) *Terms { return p.classes[class] }
+
+// Longest returns the longest deadline of a class.
+func (p *Plan) Longest() time.Duration { return p.longest }
+
+// Size returns how many classes and tenants there are.
+func (p *Plan) Size() (classes, tenants int) { return len(p.classes), len(p.tenants) }
+
+// Counts is how many names a plan has that an older one lacks, has otherwise, and lacks.
+type Counts struct{ Added, Changed, Gone int }
+
+// Change is what a plan changes over an older one.
+type Change struct {
+	Classes, Tenants         Counts
+	goneClasses, goneTenants []string
+}
+
+// Since compares p with an older plan. It calls step as NewPlan does.
+func (p *Plan) Since(old *Plan, step func()) Change {
+	var c Change
+	if p == old {
+		return c
+	}
+	for name, t := range p.classes {
+		if was := old.classes[name]; was == nil {
+			c.Classes.Added++
+		} else if was.Class != t.Class {
+			c.Classes.Changed++
+		}
+		step()
+	}
+	for name, quota := range p.tenants {
+		if was, ok := old.tenants[name]; !ok {
+			c.Tenants.Added++
+		} else if was != quota {
+			c.Tenants.Changed++
+		}
+		step()
+	}
+	for name := range old.classes {
+		if p.classes[name] == nil {
+			c.goneClasses = append(c.goneClasses, name)
+		}
+		step()
+	}
+	for name := range old.tenants {
+		if _, ok := p.tenants[name]; !ok {
+			c.goneTenants = append(c.goneTenants, name)
+		}
+		step()
+	}
+	c.Classes.Gone, c.Tenants.Gone = len(c.goneClasses), len(c.goneTenants)
+	return c
+}
+
+// validate names what is missing or out of range, but for the classes and tenants.
+func (s Settings) validate() error {
 	r := s.Rules
 	for _, x := range []struct {
 		name string
@@ -45,32 +149,24 @@
 			return bad("%s is missing or out of range", x.name)
 		}
 	}
-	names := map[string]bool{}
-	for _, c := range s.Classes {
-		switch {
-		case names[c.Name]:
-			return bad("class %q is set twice", c.Name)
-		case !amount(c.Worth) || !amount(c.LateWorth):
-			return bad("class %q: Worth and LateWorth must be finite and not negative", c.Name)
-		case c.Aim <= 0:
-			return bad("class %q: Aim must be over zero", c.Name)
-		case c.Deadline < c.Aim:
-			return bad("class %q: Deadline is before Aim", c.Name)
-		case c.Repeat > Unsafe:
-			return bad("class %q: Repeat is of no known kind", c.Name)
-		case c.Repeat == Keyed && c.Group > GroupCell:
-			return bad("class %q: Group is of no known kind", c.Name)
-		case c.Repeat == Keyed && c.Memory <= 0:
-			return bad("class %q: Memory must be over zero", c.Name)
-		}
-		names[c.Name] = true
-	}
-	names = map[string]bool{}
-	for _, t := range s.Tenants {
-		if names[t.Name] || !amount(t.Quota) {
-			return bad("tenant %q is set twice or has a Quota that is negative or not finite", t.Name)
-		}
-		names[t.Name] = true
+	return nil
+}
+
+// validate names what of a class is out of range.
+func (c Class) validate() error {
+	switch {
+	case !amount(c.Worth) || !amount(c.LateWorth):
+		return bad("class %q: Worth and LateWorth must be finite and not negative", c.Name)
+	case c.Aim <= 0:
+		return bad("class %q: Aim must be over zero", c.Name)
+	case c.Deadline < c.Aim:
+		return bad("class %q: Deadline is before Aim", c.Name)
+	case c.Repeat > Unsafe:
+		return bad("class %q: Repeat is of no known kind", c.Name)
+	case c.Repeat == Keyed && c.Group > GroupCell:
+		return bad("class %q: Group is of no known kind", c.Name)
+	case c.Repeat == Keyed && c.Memory <= 0:
+		return bad("class %q: Memory must be over zero", c.Name)
 	}
 	return nil
 }
--- a/state.go
+++ b/state.go
@@ -7,35 +7,63 @@
 	"time"
 )
 
-// The types that the decisions in balancer.go keep, and what is decided over quotas and budgets.
+// The types that the decisions in balancer.go keep, and what is decided over quotas, budgets and changed settings.
 
-// tenant counts one customer's requests against this balancer's part of its quota: rate, a second.
-type tenant struct{ quota, rate, level, at float64 }
+// Terms are what the settings say of a class. They never change.
+type Terms struct {
+	Class
+	stake float64 // what the cheapest class is worth set against it
+}
+
+// tenant counts one customer's requests against this balancer's part of its quota.
+type tenant struct{ level, at float64 }
 
-// over counts a request that is within its tenant's quota, and reports whether this one is over it. What is over the
-// quota is not counted, or a tenant that asks for more than its share would be left none.
-func (t *tenant) over(now time.Duration) bool {
-	t.level, t.at = max(0, t.level-t.rate*(now.Seconds()-t.at)), now.Seconds()
-	if t.level+1 > max(t.rate+quotaChance*math.Sqrt(t.rate), 1) {
+// over counts a request that is within its tenant's quota, of which rate a second is this balancer's part, and reports
+// whether this one is over it. What is over the quota is not counted, or a tenant that asks for more than its share
+// would be left none.
+func (t *tenant) over(now time.Duration, rate float64) bool {
+	t.level, t.at = max(0, t.level-rate*(now.Seconds()-t.at)), now.Seconds()
+	if t.level+1 > max(rate+quotaChance*math.Sqrt(rate), 1) {
 		return true
 	}
 	t.level++
 	return false
 }
 
-// class is one kind of request, what the cheapest one is worth set against it, its usual latency, ns, and the usual
-// budget of a try, with the votes for that.
-type class struct {
-	Class
-	stake  float64
+// habits are what a class's requests have shown: their usual latency, ns, and the usual budget of a try, with the votes
+// for that.
+type habits struct {
 	lat    float64
 	budget time.Duration
 	votes  int
 }
 
+// stake sets what the cheapest class, of those that are worth anything, is worth against one of a worth: at most 1.
+func stake(worth, least float64) float64 {
+	if least < worth {
+		return least / worth
+	}
+	return 1
+}
+
+// knows tells whether requests may name a tenant: any, where none is set.
+func (p *Plan) knows(tenant string) bool {
+	if tenant == "" || len(p.tenants) == 0 {
+		return true
+	}
+	_, ok := p.tenants[tenant]
+	return ok
+}
+
+// class is a class as a request met it: the terms that held, and what is learnt of it.
+type class struct {
+	*Terms
+	*habits
+}
+
 // usual takes a try's budget and reports whether it is the usual one, by a majority vote that forgets. The longest
 // budget is none to go by: a client's last try may have all of the deadline that is left.
-func (c *class) usual(budget time.Duration) bool {
+func (c *habits) usual(budget time.Duration) bool {
 	if c.votes == 0 {
 		c.budget = budget
 	}
@@ -61,7 +89,8 @@
 // request is an entry of the ledger; it stays until its last attempt has ended.
 type request struct {
 	Request
-	class            *class
+	class            class
+	tenant           *tenant       // who it counts for; nil: nobody
 	worth, units     float64       // worth per unit of work; work in mean requests
 	sendBy, deadline time.Duration // sent after sendBy, an answer would come late
 	attempts         []*attempt
@@ -116,9 +145,11 @@
 	s                       Settings
 	host                    Host
 	rng                     *rand.Rand
-	classes                 map[string]*class
-	tenants                 map[string]*tenant
+	plan                    *Plan // in force
 	safest                  Repeat
+	classes                 map[string]*habits // learnt, since the first use
+	tenants                 map[string]*tenant // likewise
+	gone                    []Change           // of which something is still to be forgotten
 	requests                map[RequestID]*request
 	byID                    map[UpstreamID]*upstream
 	ups                     []*upstream         // in order of arrival
@@ -135,11 +166,88 @@
 	least, calm             float64             // those of an upstream, as a good part of the fleet has them
 	doubt                   float64             // part of the overdue attempts that were answered after all
 	part                    float64             // of what the upstreams answer, as far as their reports tell
+	quotaPart               float64             // of the whole traffic, likewise; 0: no report has told
 	tick, stepAt, watchWait time.Duration
 	tightAt                 time.Duration // last time that no upstream could take a request
 	logged                  map[string]time.Duration
 }
 
+// adopt takes what a plan says apart from classes and tenants, which are looked up there.
+func (b *Balancer) adopt(p *Plan) {
+	b.plan, b.s, b.safest = p, p.s, p.safest
+	b.tick = max(p.s.Granularity, p.shortest/ticksPerAim, time.Millisecond)
+}
+
+// Reconfigure goes by another plan from now on; c is what that changes, for what is gone to be forgotten. What has been
+// taken keeps its terms, and what has been learnt stays. The work does not grow with what the plan holds.
+func (b *Balancer) Reconfigure(now time.Duration, p *Plan, c Change) {
+	moved := p.s.Balancers != b.s.Balancers || p.s.Rank != b.s.Rank
+	b.adopt(p)
+	if len(c.goneClasses)+len(c.goneTenants) > 0 {
+		b.gone = append(b.gone, c)
+	}
+	if moved { // another stretch of the ring
+		b.gather(now)
+		b.dispatch(now)
+	}
+}
+
+// forget drops what was learnt of some of the classes and tenants that are gone. One that is back keeps all of it.
+func (b *Balancer) forget() {
+	for left := forgetMost * len(b.gone); left > 0 && len(b.gone) > 0; left-- { // faster where more is left to forget
+		c := &b.gone[0]
+		if n := len(c.goneClasses); n > 0 {
+			name := c.goneClasses[n-1]
+			if c.goneClasses = c.goneClasses[:n-1]; b.plan.classes[name] == nil {
+				delete(b.classes, name)
+			}
+		} else if n := len(c.goneTenants); n > 0 {
+			name := c.goneTenants[n-1]
+			c.goneTenants = c.goneTenants[:n-1]
+			if _, back := b.plan.tenants[name]; !back {
+				delete(b.tenants, name)
+			}
+		} else {
+			b.gone[0] = Change{}
+			b.gone = b.gone[1:]
+		}
+	}
+}
+
+// class is a class as it stands, by the terms given, or else those in force.
+func (b *Balancer) class(name string, t *Terms) class {
+	if t == nil {
+		t = b.plan.classes[name]
+	}
+	h := b.classes[name]
+	if h == nil {
+		h = &habits{}
+		b.classes[name] = h
+	}
+	return class{t, h}
+}
+
+// rate is this balancer's part of a tenant's quota, a second: no less than an even one.
+func (b *Balancer) rate(quota float64) float64 {
+	if b.quotaPart == 0 {
+		return quota / float64(b.s.Balancers)
+	}
+	return quota * max(b.quotaPart, 1/float64(b.s.Balancers))
+}
+
+// over counts r for its tenant, and reports whether it is over the quota. Who has no quota is never over it.
+func (b *Balancer) over(r *request, now time.Duration) bool {
+	quota, ok := b.plan.tenants[r.Tenant]
+	if !ok {
+		return false
+	}
+	if r.tenant = b.tenants[r.Tenant]; r.tenant == nil {
+		r.tenant = &tenant{at: now.Seconds()}
+		b.tenants[r.Tenant] = r.tenant
+	}
+	return r.tenant.over(now, b.rate(quota))
+}
+
 // mixed is a fixed hash of x, so that neither numbering nor time of listing orders the ring.
 func mixed(x uint64) uint64 {
 	x = (x + 1) * 0x9e3779b97f4a7c15
