--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,14 +1,15 @@
 package wire
 
 import (
-	"encoding/json"
+	"bytes"
 	"fmt"
+	"strings"
 	"time"
 
 	"clayladder"
 )
 
-// params mirrors the settings that the module uses; other keys are ignored.
+// params mirrors the settings that the module uses, but for the lists; other keys are ignored.
 type params struct {
 	Zone        string  `json:"az"`
 	Balancers   int     `json:"balancers"`
@@ -37,23 +38,21 @@
 		TipAfter    int64   `json:"tip_after_us"`
 		TipMultiple float64 `json:"tip_multiple"`
 	} `json:"obligations"`
-	Classes []struct {
-		GiveUp    int64   `json:"give_up_us"`
-		Group     string  `json:"group"`
-		LateWorth float64 `json:"late_worth"`
-		Memory    int64   `json:"memory_span_us"`
-		Name      string  `json:"name"`
-		Repeat    string  `json:"repeat"`
-		Target    int64   `json:"target_us"`
-		Worth     float64 `json:"worth"`
-	} `json:"profiles"`
 	Reporting struct {
 		Via string `json:"via"`
 	} `json:"reporting"`
-	Tenants []struct {
-		Name  string  `json:"name"`
-		Quota float64 `json:"quota_rps"`
-	} `json:"tenants"`
+}
+
+// profile mirrors an entry of the list of classes.
+type profile struct {
+	GiveUp    int64   `json:"give_up_us"`
+	Group     string  `json:"group"`
+	LateWorth float64 `json:"late_worth"`
+	Memory    int64   `json:"memory_span_us"`
+	Name      string  `json:"name"`
+	Repeat    string  `json:"repeat"`
+	Target    int64   `json:"target_us"`
+	Worth     float64 `json:"worth"`
 }
 
 var (
@@ -85,21 +84,56 @@
 	ConnectTimeout time.Duration // a connection not up by then counts as failed
 }
 
-// DecodeSettings reads the settings object of a start message or of a real balancer's configuration.
+// DecodeSettings reads the settings object of a start message.
 func DecodeSettings(text []byte) (clayladder.Settings, Links, error) {
+	var classes []clayladder.Class
+	var tenants []clayladder.Tenant
+	d := NewDecoder(bytes.NewReader(text), func() {})
+	s, links, err := d.Settings(
+		func(c clayladder.Class) error { classes = append(classes, c); return nil },
+		func(t clayladder.Tenant) error { tenants = append(tenants, t); return nil })
+	if err != nil {
+		return s, links, err
+	}
+	if err := d.End(); err != nil {
+		return s, links, fmt.Errorf("settings: %w", err)
+	}
+	s.Classes, s.Tenants = classes, tenants
+	return s, links, nil
+}
+
+// Settings reads the settings object of a start message or of a real balancer's configuration, but for the classes and
+// tenants: it hands these over as they come. An error names the setting.
+func (d *Decoder) Settings(class func(clayladder.Class) error, tenant func(clayladder.Tenant) error) (s clayladder.Settings,
+	links Links, err error) {
 	var p params
-	var s clayladder.Settings
-	var links Links
-	if err := json.Unmarshal(text, &p); err != nil {
+	seen := map[string]bool{}
+	if err := d.Object(func(key string) error {
+		list := strings.ToLower(key)
+		entry := map[string]func() error{
+			"profiles": func() error { return d.class(class) },
+			"tenants":  func() error { return d.tenant(tenant) },
+		}[list]
+		if entry == nil {
+			return d.Field(key, &p)
+		} else if seen[list] {
+			return fmt.Errorf("%s is there twice", list)
+		}
+		seen[list] = true
+		if err := d.List(func(int) error { return entry() }); err != nil {
+			return fmt.Errorf("%s: %w", list, err)
+		}
+		return nil
+	}); err != nil {
 		return s, links, fmt.Errorf("settings: %w", err)
 	}
-	s = clayladder.Settings{Zone: p.Zone, Balancers: p.Balancers, Rank: p.Rank, OverShareWorth: p.OverShare,
-		WorthByWork: p.WorthBy == "work", Granularity: us(p.Granularity),
-		Limits: clayladder.Limits{Cancel: p.Limits.Cancel, Probes: p.Limits.Probes, SecondCopies: p.Limits.SecondCopies,
-			RetryAfter: p.Limits.RetryAfter, MaxRetry: us(p.Limits.MaxRetry), MaxAttempts: p.Limits.MaxAttempts},
-		Rules: clayladder.Rules{AskWithin: us(p.Rules.AskWithin), ColdFrom: p.Rules.ColdFrom, RampTime: us(p.Rules.RampTime),
-			TipMultiple: p.Rules.TipMultiple, TipAfter: us(p.Rules.TipAfter), DrainGrace: us(p.Rules.DrainGrace),
-			AnswerWithin: us(p.Rules.Slack)}}
+	s.Zone, s.Balancers, s.Rank, s.OverShareWorth = p.Zone, p.Balancers, p.Rank, p.OverShare
+	s.WorthByWork, s.Granularity = p.WorthBy == "work", us(p.Granularity)
+	s.Limits = clayladder.Limits{Cancel: p.Limits.Cancel, Probes: p.Limits.Probes, SecondCopies: p.Limits.SecondCopies,
+		RetryAfter: p.Limits.RetryAfter, MaxRetry: us(p.Limits.MaxRetry), MaxAttempts: p.Limits.MaxAttempts}
+	s.Rules = clayladder.Rules{AskWithin: us(p.Rules.AskWithin), ColdFrom: p.Rules.ColdFrom, RampTime: us(p.Rules.RampTime),
+		TipMultiple: p.Rules.TipMultiple, TipAfter: us(p.Rules.TipAfter), DrainGrace: us(p.Rules.DrainGrace),
+		AnswerWithin: us(p.Rules.Slack)}
 	links = Links{KeepAlive: us(p.Limits.KeepAlive), ConnectTimeout: us(p.Limits.ConnectTimeout)}
 	var ok bool
 	if s.OnRequest, ok = asks[p.Mode]; !ok {
@@ -111,19 +145,35 @@
 	if s.Reports, ok = vias[p.Reporting.Via]; !ok {
 		return s, links, fmt.Errorf("settings: reporting.via %q is unknown", p.Reporting.Via)
 	}
-	for _, c := range p.Classes {
-		class := clayladder.Class{Name: c.Name, Aim: us(c.Target), Deadline: us(c.GiveUp), Memory: us(c.Memory),
-			Worth: c.Worth, LateWorth: c.LateWorth}
-		if class.Repeat, ok = repeats[c.Repeat]; !ok {
-			return s, links, fmt.Errorf("settings: profiles: repeat %q is unknown", c.Repeat)
-		}
-		if class.Group, ok = groups[c.Group]; !ok && class.Repeat == clayladder.Keyed {
-			return s, links, fmt.Errorf("settings: profiles: group %q is unknown", c.Group)
-		}
-		s.Classes = append(s.Classes, class)
+	return s, links, nil
+}
+
+// class reads an entry of the list of classes.
+func (d *Decoder) class(add func(clayladder.Class) error) error {
+	var p profile
+	if err := d.Decode(&p); err != nil {
+		return fmt.Errorf("%q: %w", p.Name, whole(err))
 	}
-	for _, t := range p.Tenants {
-		s.Tenants = append(s.Tenants, clayladder.Tenant{Name: t.Name, Quota: t.Quota})
+	c := clayladder.Class{Name: p.Name, Aim: us(p.Target), Deadline: us(p.GiveUp), Memory: us(p.Memory), Worth: p.Worth,
+		LateWorth: p.LateWorth}
+	var ok bool
+	if c.Repeat, ok = repeats[p.Repeat]; !ok {
+		return fmt.Errorf("%q: repeat %q is unknown", p.Name, p.Repeat)
 	}
-	return s, links, nil
+	if c.Group, ok = groups[p.Group]; !ok && c.Repeat == clayladder.Keyed {
+		return fmt.Errorf("%q: group %q is unknown", p.Name, p.Group)
+	}
+	return add(c)
+}
+
+// tenant reads an entry of the list of tenants.
+func (d *Decoder) tenant(add func(clayladder.Tenant) error) error {
+	var t struct {
+		Name  string  `json:"name"`
+		Quota float64 `json:"quota_rps"`
+	}
+	if err := d.Decode(&t); err != nil {
+		return fmt.Errorf("%q: %w", t.Name, whole(err))
+	}
+	return add(clayladder.Tenant{Name: t.Name, Quota: t.Quota})
 }
