--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -833,41 +834,50 @@
 	os.Exit(m.Run())
 }
 
-// echoes are the times until an echo came, and what its process worked meanwhile, in ns, by what the echo said.
+// echoes are the times until an echo came, and what its process had worked by then since it was asked for, in ns, by the
+// echo's first byte. The other eight are the processor time at which it was written.
 type echoes map[string]struct{ Late, Work []time.Duration }
 
+// processorTime is what a process has worked so far; 0 is this one.
+func processorTime(pid int) (time.Duration, error) {
+	clock := 2 // CLOCK_PROCESS_CPUTIME_ID
+	if pid != 0 {
+		clock = ^pid<<3 | 2
+	}
+	var ts syscall.Timespec
+	if _, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, uintptr(clock), uintptr(unsafe.Pointer(&ts)), 0); errno != 0 {
+		return 0, errno
+	}
+	return time.Duration(ts.Nano()), nil
+}
+
 // askForEchoes asks every 0.3 ms, until the connection is closed, and writes the echoes to standard output.
 func askForEchoes(address, owner string) error {
 	pid, err := strconv.Atoi(owner)
 	if err != nil {
 		return err
 	}
-	worked := func() time.Duration { // the processor time of the other process, whose clock has this number
-		var ts syscall.Timespec
-		if _, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, uintptr(^pid<<3|2), uintptr(unsafe.Pointer(&ts)), 0); errno != 0 {
-			err = errno
-		}
-		return time.Duration(ts.Nano())
-	}
 	c, err := net.Dial("tcp", address)
 	if err != nil {
 		return err
 	}
 	all := echoes{}
-	for b := []byte{0}; ; time.Sleep(300 * time.Microsecond) {
-		work, begin := worked(), time.Now()
-		if _, err := c.Write(b); err != nil {
+	for b := make([]byte, 9); ; time.Sleep(300 * time.Microsecond) {
+		begin := time.Now()
+		work, err := processorTime(pid)
+		if err != nil {
+			return err
+		}
+		if _, err := c.Write(b[:1]); err != nil {
 			break
 		}
-		if _, err := c.Read(b); err != nil {
+		if _, err := io.ReadFull(c, b); err != nil {
 			break
 		}
-		x := all[string(b)]
-		x.Late, x.Work = append(x.Late, time.Since(begin)), append(x.Work, worked()-work)
-		all[string(b)] = x
-	}
-	if err != nil {
-		return err
+		x := all[string(b[:1])]
+		x.Late = append(x.Late, time.Since(begin))
+		x.Work = append(x.Work, time.Duration(binary.LittleEndian.Uint64(b[1:]))-work)
+		all[string(b[:1])] = x
 	}
 	return json.NewEncoder(os.Stdout).Encode(all)
 }
@@ -928,8 +938,8 @@
 					return
 				}
 				defer c.Close()
-				for p := make([]byte, 1); ; {
-					if _, err := c.Read(p); err != nil {
+				for p := make([]byte, 9); ; {
+					if _, err := c.Read(p[:1]); err != nil {
 						return
 					}
 					t := make(turn)
@@ -941,6 +951,12 @@
 					default:
 					}
 					p[0] = byte('0' + phase.Load())
+					work, err := processorTime(0)
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					binary.LittleEndian.PutUint64(p[1:], uint64(work))
 					c.Write(p)
 				}
 			}()
@@ -957,11 +973,18 @@
 				phase.Store(0)
 				write(1001 + i)
 				time.Sleep(100 * time.Millisecond)
-				begin := processorTime(b)
+				begin, err := processorTime(0)
+				if err != nil {
+					b.Fatal(err)
+				}
 				phase.Store(1)
 				hangups <- syscall.SIGHUP
 				took += <-inForce
-				work += processorTime(b) - begin
+				end, err := processorTime(0)
+				if err != nil {
+					b.Fatal(err)
+				}
+				work += end - begin
 			}
 			close(end)
 			if err := client.Wait(); err != nil {
@@ -989,12 +1012,3 @@
 		})
 	}
 }
-
-// processorTime is what the process has worked so far.
-func processorTime(t testing.TB) time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		t.Fatal(err)
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
