--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -20,7 +20,7 @@
 const (
 	// slice is how long the work of a reload goes on before it lets everything else run for as long. The process has one
 	// core, and the loop waits for the end of a slice; 3.6 ms is all that may be added to a request.
-	slice = 500 * time.Microsecond
+	slice = 250 * time.Microsecond
 	// pieceRead is how much of the file is read, or hashed, between two looks at the time: some 0.1 ms.
 	pieceRead = 32 << 10
 	stepsLook = 16 // small steps between two looks at the time
