--- a/balancer.go
+++ b/balancer.go
@@ -80,8 +80,8 @@
 	b.gather(now)
 	b.lat = float64(p.shortest) / 4 // until answers tell
 	host.SetTimer(b.tick, tickToken)
-	if b.s.OnRequest { // not all balancers at once, also where a release has started them together; yet soon: what
-		// changed while this one was down counts as told no later for that
+	if b.s.OnRequest { // not all balancers at once, also where a release has started them together; yet soon:
+		// what changed while this one was down counts as told no later for that
 		host.SetTimer(time.Duration(b.turnOf()*firstCalls*float64(b.turnOfCalls())), watchToken)
 	}
 	return b
