--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"bytes"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
@@ -55,10 +57,15 @@
 		t.Fatal(err)
 	}
 	want(t, "at the start", c.Discovery, "127.0.0.1:1")
-	x, err := NewReloader(getenv, c).read(nil)
+	var log bytes.Buffer
+	r := NewReloader(getenv, c)
+	r.log = slog.New(slog.NewTextHandler(&log, nil))
+	x, err := r.read(nil)
 	if err != nil {
 		t.Fatal(err)
 	}
+	want(t, "name", c.Name, "n4")
+	want(t, "what the log says of a name that still goes before the file's", log.String(), "")
 	want(t, "read again", x.Discovery, "127.0.0.1:8500")
 	want(t, "bytes", x.Hash, c.Hash)
 }
