--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -35,6 +35,9 @@
 	Links     wire.Links
 	// Overlap, if set, is called when another process of this balancer begins or ends to live beside this one.
 	Overlap func(on bool)
+	// ListInForce, if set, is called on the loop each time a list of discovery has been applied, with its revision. It must
+	// not wait.
+	ListInForce func(revision uint64)
 }
 
 // file is the configuration file's form.
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -108,6 +108,7 @@
 	settings  clayladder.Settings
 	idleFor   time.Duration
 	maxConns  int
+	inForce   func(revision uint64) // nil: nobody is told
 
 	names    *names
 	revision uint64
@@ -137,7 +138,8 @@
 		origin: time.Now(), dial: dialer{open: net.DialTimeout, timeout: c.Links.ConnectTimeout}, settings: c.Settings,
 		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.upstreamConns(),
 		names: newNames(), requests: map[clayladder.RequestID]*request{}, open: map[string]bool{},
-		peers: map[clayladder.UpstreamID]*peer{}, off: map[string]clayladder.UpstreamID{}, ids: newIDs()}
+		peers: map[clayladder.UpstreamID]*peer{}, off: map[string]clayladder.UpstreamID{}, ids: newIDs(),
+		inForce: c.ListInForce}
 	// The clock is Unix time at the start, going on by the monotonic clock: what discovery dates stands on it as it
 	// is, also from before this process, and a clock that is set does not move it.
 	l.epoch = time.Duration(l.origin.UnixNano())
@@ -841,6 +843,9 @@
 	for _, p := range l.peers {
 		l.forget(p)
 	}
+	if l.inForce != nil {
+		l.inForce(x.Revision)
+	}
 }
 
 // peer applies a list's entry.
