--- /dev/null
+++ b/internal/scale/discovery.go
@@ -0,0 +1,413 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// This file is a stand-in for the discovery service, by the protocol's page: whole lists, watches that wait, changes,
+// revisions. One to four machines are addresses that share one list. It counts calls, watches, entries and bytes on its
+// connections. Its processor time is its process's, so it stands for discovery's own only in a process of its own.
+
+const (
+	machinesMost = 4
+	// turnPatience is how long a call may wait for its turn. Then it fails, as the real service's do.
+	turnPatience = 2 * time.Second
+	waitMost     = 60 * time.Second // that a watch may ask for
+)
+
+// Mode is what a machine does with calls.
+type Mode string
+
+// The modes. A machine that was down or silent comes up with the list as it stands by then.
+const (
+	ModeUp     Mode = "up"
+	ModeDown   Mode = "down"   // connections are reset, new ones refused
+	ModeSilent Mode = "silent" // connections stay open and nothing comes on them
+)
+
+// Costs are what a call takes of its machine. Calls wait for each other; the time passes, no processor is used for it.
+type Costs struct {
+	Call  time.Duration `json:"call_ns"`
+	Entry time.Duration `json:"entry_ns"` // for each entry of the answer
+}
+
+// Counts are what a discovery was asked and told since its start, over all machines.
+type Counts struct {
+	Calls    int64 `json:"calls"`    // answered or failed
+	Watches  int64 `json:"watches"`  // of these, with a since
+	News     int64 `json:"news"`     // watches that were answered with something newer
+	Whole    int64 `json:"whole"`    // whole lists written
+	Failed   int64 `json:"failed"`   // refused for their turn, or cut by a machine that went
+	Entries  int64 `json:"entries"`  // written
+	Body     int64 `json:"body"`     // bytes of answers, without head
+	BytesIn  int64 `json:"bytes_in"` // on the connections
+	BytesOut int64 `json:"bytes_out"`
+	Waiting  int64 `json:"waiting"` // watches that wait now
+}
+
+// sub is what came since an earlier reading.
+func (c Counts) sub(b Counts) Counts {
+	return Counts{c.Calls - b.Calls, c.Watches - b.Watches, c.News - b.News, c.Whole - b.Whole, c.Failed - b.Failed,
+		c.Entries - b.Entries, c.Body - b.Body, c.BytesIn - b.BytesIn, c.BytesOut - b.BytesOut, c.Waiting}
+}
+
+// counters are Counts as they are counted.
+type counters struct {
+	calls, watches, news, whole, failed, entries, body, in, out, waiting atomic.Int64
+}
+
+func (c *counters) read() Counts {
+	return Counts{c.calls.Load(), c.watches.Load(), c.news.Load(), c.whole.Load(), c.failed.Load(), c.entries.Load(), c.body.Load(),
+		c.in.Load(), c.out.Load(), c.waiting.Load()}
+}
+
+// machine is one of discovery's addresses.
+type machine struct {
+	list    *list
+	counts  *counters
+	address string
+
+	mu     sync.Mutex
+	mode   Mode
+	costs  Costs
+	free   time.Time // the turns taken so far are over by then
+	server *http.Server
+	life   context.Context // ends when the mode changes
+	end    context.CancelFunc
+}
+
+// newMachine is up at address; port 0 takes any.
+func newMachine(l *list, n *counters, address string, costs Costs) (*machine, error) {
+	m := &machine{list: l, counts: n, address: address, costs: costs, mode: ModeDown}
+	return m, m.set(ModeUp)
+}
+
+// set changes what the machine does.
+func (m *machine) set(mode Mode) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if mode == m.mode {
+		return nil
+	}
+	switch mode {
+	case ModeUp, ModeSilent, ModeDown:
+	default:
+		return fmt.Errorf("mode %q is unknown", mode)
+	}
+	if m.mode != ModeUp || mode != ModeSilent { // calls that wait when it falls silent stay, and hear nothing
+		if m.end != nil {
+			m.end()
+		}
+		m.life, m.end = context.WithCancel(context.Background())
+	}
+	m.mode, m.free = mode, time.Time{}
+	if mode == ModeDown {
+		m.server.Close()
+		m.server = nil
+		return nil
+	}
+	if m.server != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", m.address)
+	if err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	m.address = l.Addr().String()
+	m.server = &http.Server{Handler: m}
+	go m.server.Serve(&countedListener{l, m.counts})
+	return nil
+}
+
+// turn takes a call's place in the row and returns when it ends; false: that is too late.
+func (m *machine) turn(a *answer) (until time.Time, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if m.free.Before(now) {
+		m.free = now
+	}
+	if m.free.Sub(now) > turnPatience {
+		return now, false
+	}
+	m.free = m.free.Add(m.costs.Call + time.Duration(a.entries)*m.costs.Entry)
+	return m.free, true
+}
+
+// silent tells whether the machine says nothing.
+func (m *machine) silent() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.mode == ModeSilent
+}
+
+// ServeHTTP answers a call of the list.
+func (m *machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.mu.Lock()
+	life := m.life
+	m.mu.Unlock()
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(life, cancel)()
+	defer m.counts.calls.Add(1)
+	a, err := m.ask(ctx, r)
+	if m.silent() {
+		<-ctx.Done()
+		err = errCut
+	}
+	switch {
+	case errors.Is(err, errCut):
+		m.counts.failed.Add(1)
+		panic(http.ErrAbortHandler) // the connection is reset
+	case errors.Is(err, errTurn):
+		m.counts.failed.Add(1)
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	case err != nil:
+		m.counts.failed.Add(1)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if a.whole {
+		m.counts.whole.Add(1)
+	}
+	m.counts.entries.Add(int64(a.entries))
+	m.counts.body.Add(int64(len(a.body)))
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.Write(a.body) // who has gone asks again
+}
+
+var (
+	errCut  = errors.New("discovery: the machine or the caller has gone")
+	errTurn = errors.New("discovery: too many calls wait")
+)
+
+// ask is a call's answer, once it has come and had its turn.
+func (m *machine) ask(ctx context.Context, r *http.Request) (*answer, error) {
+	q := r.URL.Query()
+	if r.URL.Path != "/v1/servers" || r.Method != http.MethodGet {
+		return nil, errors.New("discovery: no such call")
+	}
+	var since uint64
+	var wait time.Duration
+	if q.Has("since") {
+		m.counts.watches.Add(1)
+		var err error
+		if since, err = strconv.ParseUint(q.Get("since"), 10, 64); err != nil {
+			return nil, fmt.Errorf("since: %w", err)
+		}
+		ms, err := strconv.ParseUint(q.Get("timeout_ms"), 10, 32)
+		if err != nil {
+			return nil, fmt.Errorf("timeout_ms: %w", err)
+		}
+		wait = min(time.Duration(ms)*time.Millisecond, waitMost)
+	}
+	a, err := m.await(ctx, since, wait)
+	if err != nil {
+		return nil, err
+	}
+	until, ok := m.turn(a)
+	if !ok {
+		return nil, errTurn
+	}
+	if rest := time.Until(until); rest > 0 {
+		select {
+		case <-time.After(rest):
+		case <-ctx.Done():
+			return nil, errCut
+		}
+	}
+	if since != 0 && a.revision != since {
+		m.counts.news.Add(1)
+	}
+	return a, nil
+}
+
+// await waits until there is something newer than since, or wait is over.
+func (m *machine) await(ctx context.Context, since uint64, wait time.Duration) (*answer, error) {
+	a, news, err := m.list.answer(since)
+	if err != nil || since == 0 || a.revision != since || wait == 0 {
+		return a, err
+	}
+	m.counts.waiting.Add(1)
+	defer m.counts.waiting.Add(-1)
+	over := time.NewTimer(wait)
+	defer over.Stop()
+	select {
+	case <-news:
+		a, _, err = m.list.answer(since)
+	case <-over.C:
+		a, _, err = m.list.answer(since)
+	case <-ctx.Done():
+		err = errCut
+	}
+	return a, err
+}
+
+// countedListener counts the bytes of its connections.
+type countedListener struct {
+	net.Listener
+	counts *counters
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{c, l.counts}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	counts *counters
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.counts.in.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counts.out.Add(int64(n))
+	return n, err
+}
+
+// Discovery is the stand-in's control: its methods are called in the process, or by a driver over standard input and output
+// (see child.go).
+type Discovery struct {
+	list     *list
+	counts   counters
+	machines []*machine
+	away     map[string][]Member // of zones that are lost
+	mu       sync.Mutex          // over away
+}
+
+// DiscoveryStart says what a discovery begins with.
+type DiscoveryStart struct {
+	Machines  int
+	Upstreams int
+	Zones     int
+	Addresses []string // of upstreams, host:port, which take turns
+	Costs     Costs
+}
+
+// None is the argument or reply of a call that has none.
+type None struct{}
+
+// Start makes the list and the machines, and replies with their addresses.
+func (d *Discovery) Start(s DiscoveryStart, addresses *[]string) error {
+	switch {
+	case s.Machines < 1 || s.Machines > machinesMost:
+		return fmt.Errorf("discovery: %d machines, 1 to %d are allowed", s.Machines, machinesMost)
+	case s.Zones < 1 || len(s.Addresses) == 0:
+		return errors.New("discovery: a list needs zones and addresses")
+	case d.list != nil:
+		return errors.New("discovery: started already")
+	}
+	d.list, d.away = newList(s.Upstreams, s.Zones, s.Addresses), map[string][]Member{}
+	for range s.Machines {
+		m, err := newMachine(d.list, &d.counts, "127.0.0.1:0", s.Costs)
+		if err != nil {
+			return err
+		}
+		d.machines = append(d.machines, m)
+		*addresses = append(*addresses, m.address)
+	}
+	return nil
+}
+
+// Stop ends all machines.
+func (d *Discovery) Stop() {
+	for _, m := range d.machines {
+		m.set(ModeDown) // down always works
+	}
+}
+
+// Listing replies with the whole list.
+func (d *Discovery) Listing(_ None, x *Listing) error {
+	*x = d.list.listing()
+	return nil
+}
+
+// Release makes the next change of a release.
+func (d *Discovery) Release(_ None, made *Made) error {
+	*made = d.list.release()
+	return nil
+}
+
+// Zone names a zone's upstreams.
+type Zone struct {
+	Name string
+	Most int // upstreams at most; 0: all
+}
+
+// Lose takes a zone's upstreams off the list at once.
+func (d *Discovery) Lose(z Zone, made *Made) error {
+	if z.Most == 0 {
+		z.Most = len(d.list.listing().Members)
+	}
+	gone, at := d.list.remove(z.Name, z.Most)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.away[z.Name] = append(d.away[z.Name], gone...)
+	*made = at
+	return nil
+}
+
+// Regain puts what a zone has lost back, freshly started.
+func (d *Discovery) Regain(z Zone, made *Made) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	*made = d.list.restore(d.away[z.Name])
+	delete(d.away, z.Name)
+	return nil
+}
+
+// MachineMode names a machine and what it is to do.
+type MachineMode struct {
+	Machine int
+	Mode    Mode
+}
+
+// Set changes what a machine does.
+func (d *Discovery) Set(x MachineMode, _ *None) error {
+	if x.Machine < 0 || x.Machine >= len(d.machines) {
+		return fmt.Errorf("discovery: no machine %d", x.Machine)
+	}
+	return d.machines[x.Machine].set(x.Mode)
+}
+
+// Cost changes what calls cost, on all machines: a slow discovery has dear ones.
+func (d *Discovery) Cost(c Costs, _ *None) error {
+	for _, m := range d.machines {
+		m.mu.Lock()
+		m.costs = c
+		m.mu.Unlock()
+	}
+	return nil
+}
+
+// DiscoveryReading is what discovery has done and used.
+type DiscoveryReading struct {
+	Counts
+	Usage
+}
+
+// Read replies with the counts and the process's usage.
+func (d *Discovery) Read(_ None, x *DiscoveryReading) (err error) {
+	x.Counts = d.counts.read()
+	x.Usage, err = ownUsage(false)
+	return err
+}
--- /dev/null
+++ b/internal/scale/usage.go
@@ -0,0 +1,54 @@
+package scale
+
+import (
+	"fmt"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/procfs"
+)
+
+// This file reads what processes use: processor time by getrusage for the own one, by procfs for others, and memory.
+
+// Usage is what a process has used.
+type Usage struct {
+	At   int64         `json:"at_ns"`  // Unix time of the reading
+	CPU  time.Duration `json:"cpu_ns"` // processor time since its start, user and system
+	RSS  int64         `json:"rss_bytes"`
+	Heap int64         `json:"heap_bytes"` // live after a collection; 0: not read
+}
+
+// ownUsage reads this process. With heap it collects first, which costs processor time that the reading leaves out: the
+// collection comes after it.
+func ownUsage(heap bool) (Usage, error) {
+	u, err := processUsage(syscall.Getpid())
+	if err != nil {
+		return u, err
+	}
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		return u, fmt.Errorf("getrusage: %w", err)
+	}
+	u.CPU = time.Duration(r.Utime.Nano() + r.Stime.Nano())
+	if heap {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		u.Heap = int64(m.HeapAlloc)
+	}
+	return u, nil
+}
+
+// processUsage reads a process by its id. Its processor time is counted in steps of 10 ms.
+func processUsage(pid int) (Usage, error) {
+	p, err := procfs.NewProc(pid)
+	if err != nil {
+		return Usage{}, fmt.Errorf("reading process %d: %w", pid, err)
+	}
+	s, err := p.Stat()
+	if err != nil {
+		return Usage{}, fmt.Errorf("reading process %d: %w", pid, err)
+	}
+	return Usage{At: time.Now().UnixNano(), CPU: time.Duration(s.CPUTime() * float64(time.Second)), RSS: int64(s.ResidentMemory())}, nil
+}
