--- /dev/null
+++ b/internal/scale/slope.go
@@ -0,0 +1,18 @@
+package scale
+
+// Slope is one figure over another that was varied while all else was held.
+type Slope struct {
+	Name   string `json:"name"`
+	Unit   string `json:"unit"`   // of Y
+	Varied string `json:"varied"` // what X counts
+	// Note says what was held and how a point was taken: how often, and which of its runs counts.
+	Note string    `json:"note,omitempty"`
+	X    []float64 `json:"x"`
+	Y    []float64 `json:"y"`
+	Fit  Fit       `json:"fit"`
+}
+
+// NewSlope is a slope with its fit.
+func NewSlope(name, unit, varied string, x, y []float64) Slope {
+	return Slope{Name: name, Unit: unit, Varied: varied, X: x, Y: y, Fit: FitPoints(x, y)}
+}
