--- /dev/null
+++ b/internal/scale/report.go
@@ -0,0 +1,130 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// This file writes a run's results: tables for people, and the same as JSON.
+
+// Table writes the tables.
+func (r *Run) Table(w io.Writer) {
+	fmt.Fprintf(w, "\nscale run of %s, commit %s, %s, %d cores used, %.0f s, at most %d MB\n", r.Began, r.Commit, r.Go, r.processors, r.Seconds, r.MemoryMB)
+	for _, s := range r.Slopes {
+		s.table(w)
+	}
+	for _, s := range r.Scenes {
+		s.table(w)
+	}
+	for _, l := range r.Left {
+		fmt.Fprintln(w, "not run:", l)
+	}
+}
+
+func (x *Varied) table(w io.Writer) {
+	fmt.Fprintf(w, "\nslope %s; figures are for one hollow balancer where nothing else is said\n", x.Name)
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	defer t.Flush()
+	fmt.Fprint(t, "figure\tunit\t")
+	for _, p := range x.Points {
+		mark := ""
+		if p.Loaded {
+			mark = "!"
+		}
+		fmt.Fprintf(t, "%.5g%s\t", p.X, mark)
+	}
+	fmt.Fprintln(t, "fit\t")
+	for _, s := range x.Slopes {
+		fmt.Fprintf(t, "%s\t%s\t", s.Name, s.Unit)
+		for _, y := range s.Y {
+			fmt.Fprintf(t, "%.4g\t", y)
+		}
+		fmt.Fprintf(t, "%v\t\n", s.Fit)
+	}
+	for _, p := range x.Points {
+		if p.InForce.Missing > 0 {
+			fmt.Fprintf(t, "at %.5g: %d changes not in force in time\t\n", p.X, p.InForce.Missing)
+		}
+		missing, real := 0, 0
+		for _, l := range p.Reloads {
+			missing, real = missing+l.Hollow.Missing, real+l.Real.Missing
+		}
+		if missing+real > 0 {
+			fmt.Fprintf(t, "at %.5g: settings not in force on %d\t\n", p.X, missing+real)
+		}
+	}
+}
+
+func (x *Scene) table(w io.Writer) {
+	fmt.Fprintf(w, "\nscene %s: %d hollow and %d real balancers, %d upstreams, %d classes, %d tenants\n", x.Name, x.Size.Hollow, x.Size.Real,
+		x.Size.Upstreams, x.Size.Classes, x.Size.Tenants)
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(t, "figure\t")
+	for _, p := range x.Phases {
+		fmt.Fprintf(t, "%s\t", p.Name)
+	}
+	fmt.Fprintln(t)
+	row := func(name string, of func(p Phase) string) {
+		fmt.Fprintf(t, "%s\t", name)
+		for _, p := range x.Phases {
+			fmt.Fprintf(t, "%s\t", of(p))
+		}
+		fmt.Fprintln(t)
+	}
+	force := func(of func(p Phase) InForce) func(p Phase) string {
+		return func(p Phase) string {
+			f := of(p)
+			if f.Changes == 0 {
+				return "-"
+			}
+			return fmt.Sprintf("%.0f / %.0f / %.0f, missing %d", f.P50, f.P99, f.Last, f.Missing)
+		}
+	}
+	row("list in force, hollow: p50 / p99 / last ms", force(func(p Phase) InForce { return p.Lists }))
+	row("settings in force, hollow", force(func(p Phase) InForce { return p.Config }))
+	row("settings served, real", force(func(p Phase) InForce { return p.Served }))
+	row("new class not served", func(p Phase) string { return counted(p.Wrong) })
+	row("hollow: us of a core a second", func(p Phase) string { return fmt.Sprintf("%.0f", p.Spent.HollowCPU) })
+	row("real: us of a core a second", func(p Phase) string { return fmt.Sprintf("%.0f", p.Spent.RealCPU) })
+	row("real: MB, the largest", func(p Phase) string { return fmt.Sprintf("%.0f", p.Spent.RealRSS) })
+	row("bytes a second in / out, a balancer", func(p Phase) string { return fmt.Sprintf("%.0f / %.0f", p.Spent.In, p.Spent.Out) })
+	row("discovery: calls/s, busiest second", func(p Phase) string { return fmt.Sprintf("%.0f, %.0f", p.Spent.Calls, p.Busiest.Calls) })
+	row("discovery: KB/s, busiest second", func(p Phase) string { return fmt.Sprintf("%.0f, %.0f", p.Spent.Written/1000, p.Busiest.Written/1000) })
+	row("discovery: us of a core a second, busiest", func(p Phase) string { return fmt.Sprintf("%.0f, %.0f", p.Spent.Discovery, p.Busiest.Discovery) })
+	row("discovery: whole lists, failed calls", func(p Phase) string { return fmt.Sprintf("%.0f, %.0f", p.Spent.Whole, p.Spent.Failed) })
+	row("clients: requests", func(p Phase) string { return fmt.Sprint(p.Clients.Requests) })
+	row("clients: answers", func(p Phase) string { return counted(p.Clients.Statuses) })
+	row("clients: added p50 / p99 / max ms", func(p Phase) string {
+		return fmt.Sprintf("%.2f / %.2f / %.0f", p.Clients.AddedP50, p.Clients.AddedP99, p.Clients.AddedMax)
+	})
+	t.Flush()
+	for _, name := range slices.Sorted(maps.Keys(x.Figures)) {
+		fmt.Fprintf(w, "%s: %.4g\n", name, x.Figures[name])
+	}
+}
+
+func counted(c map[string]int) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(c)) {
+		parts = append(parts, fmt.Sprintf("%s: %d", name, c[name]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// WriteJSON writes all that was measured into a file.
+func (r *Run) WriteJSON(path string) error {
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return fmt.Errorf("encoding the results: %w", err)
+	}
+	if err := os.WriteFile(path, append(text, '\n'), 0o644); err != nil {
+		return fmt.Errorf("writing the results: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scale/scenes.go
@@ -0,0 +1,339 @@
+package scale
+
+import (
+	"fmt"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// This file plays the scenes: what happens on bad days, on a fleet of hollow balancers with real ones and their clients beside
+// them. Each tells whether changes were in force everywhere in time, what discovery had to stand, and what the clients saw.
+
+const (
+	configEvery   = 3 * time.Second  // 1,200 changes of the settings in an hour
+	zoneAway      = 20 * time.Second // how long a zone is lost
+	afterwards    = 12 * time.Second // what is watched behind the end of an event
+	busiestWindow = time.Second
+	machineAway   = 20 * time.Second
+	lostZone      = 0
+	lostMachine   = 0
+)
+
+// Scene is what a scene has shown.
+type Scene struct {
+	Name    string             `json:"name"`
+	Size    Size               `json:"size"`
+	Phases  []Phase            `json:"phases"`
+	Figures map[string]float64 `json:"figures,omitempty"` // what this scene alone has
+}
+
+// Phase is a part of a scene.
+type Phase struct {
+	Name    string  `json:"name"`
+	Lists   InForce `json:"lists"`               // changes of the list on the hollow balancers
+	Config  InForce `json:"settings"`            // changes of the settings on the hollow ones
+	Served  InForce `json:"settings_served"`     // and on the real ones, until the new class was served
+	Wrong   Counted `json:"settings_not_served"` // the last statuses where it never was
+	Spent   Spent   `json:"spent"`
+	Busiest Spent   `json:"busiest_second"` // of discovery: its second with the most calls
+	Clients Seen    `json:"clients"`
+}
+
+// Counted counts by name.
+type Counted map[string]int
+
+// scene is a scene to play.
+type scene struct {
+	name string
+	play func(r *Run, f *fleet, x *Scene) error
+}
+
+// scenes are in the order in which they are played.
+var scenes = []scene{
+	{"settings", playSettings},
+	{"zone", playZone},
+	{"restart", playRestart},
+	{"machine", playMachine},
+	{"cut", playCut},
+}
+
+// scene plays a scene on a fleet of its own.
+func (r *Run) scene(s scene) (Scene, error) {
+	x := Scene{Name: s.name, Size: r.base, Figures: map[string]float64{}}
+	r.progress("scene %s: %d hollow balancers and %d real ones before %d upstreams, %d classes, %d tenants", s.name, x.Size.Hollow,
+		x.Size.Real, x.Size.Upstreams, x.Size.Classes, x.Size.Tenants)
+	f, err := newFleet(x.Size, r.kids, r.program)
+	if err != nil {
+		return x, err
+	}
+	defer f.close()
+	if _, err := r.phase(f, &x, "before", func(*Phase) ([]Made, error) { return f.play(0, min(r.options.For, 10*time.Second)) }); err != nil {
+		return x, err
+	}
+	return x, s.play(r, f, &x)
+}
+
+// phase measures what do does. Changes of the list that it returns have to be in force.
+func (r *Run) phase(f *fleet, x *Scene, name string, do func(p *Phase) ([]Made, error)) (Phase, error) {
+	p := Phase{Name: name}
+	if err := f.forget(); err != nil {
+		return p, err
+	}
+	if f.traffic != nil {
+		f.traffic.take()
+	}
+	a, err := f.read(false)
+	if err != nil {
+		return p, err
+	}
+	stop, busiest := make(chan struct{}), make(chan Spent, 1)
+	go func() { busiest <- f.busiest(stop) }()
+	made, err := do(&p)
+	if err == nil {
+		p.Lists, err = f.inForce(made, inForceMost)
+	}
+	close(stop)
+	p.Busiest = <-busiest
+	if err != nil {
+		return p, err
+	}
+	b, err := f.read(false)
+	if err != nil {
+		return p, err
+	}
+	p.Spent = f.spent(a, b)
+	if f.traffic != nil {
+		p.Clients = f.traffic.take()
+	}
+	x.Phases = append(x.Phases, p)
+	r.progress("  %s: lists in force p99 %.0f ms, last %.0f, missing %d of %d; discovery %.0f calls/s, %.0f KB/s; clients %d, not served %d, added p99 %.2f ms",
+		name, p.Lists.P99, p.Lists.Last, p.Lists.Missing, p.Lists.Changes, p.Spent.Calls, p.Spent.Written/1000, p.Clients.Requests,
+		p.Clients.unserved(), p.Clients.AddedP99)
+	return p, r.failure()
+}
+
+// busiest is discovery's second with the most calls, until stop is closed.
+func (f *fleet) busiest(stop <-chan struct{}) Spent {
+	var most Spent
+	before, err := f.readDiscovery()
+	at := time.Now()
+	for err == nil {
+		select {
+		case <-stop:
+			return most
+		case <-time.After(busiestWindow):
+		}
+		var now DiscoveryReading
+		if now, err = f.readDiscovery(); err != nil {
+			break
+		}
+		then := time.Now()
+		s := (&fleet{size: f.size}).spent(reading{at: at, discovery: before}, reading{at: then, discovery: now})
+		if s.Calls >= most.Calls {
+			most = s
+		}
+		before, at = now, then
+	}
+	return most
+}
+
+// playSettings changes the settings each 3 s.
+func playSettings(r *Run, f *fleet, x *Scene) error {
+	_, err := r.phase(f, x, "a change of the settings each 3 s", func(p *Phase) ([]Made, error) {
+		var hollow, real Delays
+		changes := 0
+		p.Wrong = Counted{}
+		for began := time.Now(); time.Since(began) < r.options.For; {
+			next := time.Now().Add(configEvery)
+			c, err := f.reload(configEvery - configEvery/10)
+			if err != nil {
+				return nil, err
+			}
+			changes++
+			hollow.Micros, hollow.Missing = append(hollow.Micros, c.delays.Micros...), hollow.Missing+c.delays.Missing
+			real.Micros, real.Missing = append(real.Micros, c.served.Micros...), real.Missing+c.served.Missing
+			for status, n := range c.Wrong {
+				p.Wrong[status] += n
+			}
+			time.Sleep(time.Until(next))
+		}
+		p.Config, p.Served = summary(changes, hollow), summary(changes, real)
+		r.progress("  settings in force on hollow ones p99 %.0f ms, last %.0f, missing %d; served by real ones p99 %.0f ms, last %.0f, missing %d %v",
+			p.Config.P99, p.Config.Last, p.Config.Missing, p.Served.P99, p.Served.Last, p.Served.Missing, p.Wrong)
+		return nil, nil
+	})
+	return err
+}
+
+// playZone loses a zone with its balancers and upstreams, and gets it back, cold.
+func playZone(r *Run, f *fleet, x *Scene) error {
+	zone := Zone{Name: zoneName(lostZone)}
+	hollow := f.pathsOf(func(s Spec) bool { return s.Zone == zone.Name })
+	var reals []*realOne
+	for _, one := range f.reals {
+		if one.spec.Zone == zone.Name {
+			reals = append(reals, one)
+		}
+	}
+	x.Figures["balancers lost"] = float64(len(slices.Concat(hollow...)) + len(reals))
+	_, err := r.phase(f, x, "zone lost", func(*Phase) ([]Made, error) {
+		f.upstreams.down(lostZone)
+		for _, one := range reals {
+			one.child.cmd.Process.Kill()
+		}
+		if err := f.tell("Hollow.Stop", hollow); err != nil {
+			return nil, err
+		}
+		var made Made
+		if err := f.discovery.call("Discovery.Lose", zone, &made); err != nil {
+			return nil, err
+		}
+		time.Sleep(zoneAway)
+		return []Made{made}, nil
+	})
+	if err != nil {
+		return err
+	}
+	_, err = r.phase(f, x, "zone back, cold", func(*Phase) ([]Made, error) {
+		if err := f.upstreams.up(lostZone); err != nil {
+			return nil, err
+		}
+		var made Made
+		if err := f.discovery.call("Discovery.Regain", zone, &made); err != nil {
+			return nil, err
+		}
+		for _, one := range reals {
+			f.kids.end(one.child)
+			if err := f.startReal(one); err != nil {
+				return nil, err
+			}
+		}
+		if err := f.tell("Hollow.Start", hollow); err != nil {
+			return nil, err
+		}
+		time.Sleep(afterwards)
+		return []Made{made}, nil
+	})
+	return err
+}
+
+// playRestart restarts a tenth of the fleet at once while a change is made.
+func playRestart(r *Run, f *fleet, x *Scene) error {
+	n := 0
+	hollow := f.pathsOf(func(Spec) bool { n++; return n%10 == 1 })
+	reals := f.reals[:(len(f.reals)+9)/10]
+	x.Figures["balancers restarted"] = float64(len(slices.Concat(hollow...)) + len(reals))
+	_, err := r.phase(f, x, "a tenth restarted at once", func(*Phase) ([]Made, error) {
+		for _, one := range reals {
+			one.child.cmd.Process.Signal(syscall.SIGTERM)
+		}
+		if err := f.tell("Hollow.Stop", hollow); err != nil {
+			return nil, err
+		}
+		began := time.Now()
+		for _, one := range reals {
+			f.kids.end(one.child)
+			if err := f.startReal(one); err != nil {
+				return nil, err
+			}
+		}
+		if err := f.tell("Hollow.Start", hollow); err != nil {
+			return nil, err
+		}
+		var made Made
+		if err := f.discovery.call("Discovery.Release", None{}, &made); err != nil {
+			return nil, err
+		}
+		for _, one := range reals {
+			if err := one.awaitReady(); err != nil {
+				return nil, err
+			}
+			x.Figures["last real one ready, s"] = max(x.Figures["last real one ready, s"], time.Unix(0, one.readyAt.Load()).Sub(began).Seconds())
+		}
+		time.Sleep(afterwards)
+		return []Made{made}, nil
+	})
+	return err
+}
+
+// playMachine loses one machine of discovery while the list changes, and gets it back.
+func playMachine(r *Run, f *fleet, x *Scene) error {
+	x.Figures["balancers at the machine"] = float64(len(slices.Concat(f.pathsOf(func(s Spec) bool { return s.Discovery == f.addresses[lostMachine] })...)))
+	set := func(m Mode) error {
+		return f.discovery.call("Discovery.Set", MachineMode{lostMachine, m}, &None{})
+	}
+	if _, err := r.phase(f, x, "one machine of discovery silent", func(*Phase) ([]Made, error) {
+		if err := set(ModeSilent); err != nil {
+			return nil, err
+		}
+		return f.play(1, machineAway)
+	}); err != nil {
+		return err
+	}
+	_, err := r.phase(f, x, "the machine back", func(*Phase) ([]Made, error) {
+		if err := set(ModeUp); err != nil {
+			return nil, err
+		}
+		return f.play(1, afterwards)
+	})
+	return err
+}
+
+// playCut cuts discovery off, and gets it back with a change that was made meanwhile.
+func playCut(r *Run, f *fleet, x *Scene) error {
+	set := func(m Mode) error {
+		for i := range f.addresses {
+			if err := f.discovery.call("Discovery.Set", MachineMode{i, m}, &None{}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	if _, err := r.phase(f, x, fmt.Sprintf("discovery cut off for %v", r.options.Cut), func(*Phase) ([]Made, error) {
+		if err := set(ModeSilent); err != nil {
+			return nil, err
+		}
+		_, err := f.play(1, r.options.Cut)
+		return nil, err
+	}); err != nil {
+		return err
+	}
+	_, err := r.phase(f, x, "discovery back", func(*Phase) ([]Made, error) {
+		if err := set(ModeUp); err != nil {
+			return nil, err
+		}
+		var made Made
+		if err := f.discovery.call("Discovery.Release", None{}, &made); err != nil {
+			return nil, err
+		}
+		time.Sleep(afterwards)
+		return []Made{made}, nil
+	})
+	return err
+}
+
+// pathsOf are the files of the hollow balancers that which picks, by process.
+func (f *fleet) pathsOf(which func(Spec) bool) [][]string {
+	picked := make([][]string, len(f.paths))
+	for i, paths := range f.paths {
+		for _, path := range paths {
+			if which(f.specs[path]) {
+				picked[i] = append(picked[i], path)
+			}
+		}
+	}
+	return picked
+}
+
+// tell calls a method of each hollow process with its part of paths.
+func (f *fleet) tell(method string, paths [][]string) error {
+	for i, c := range f.hollow {
+		if len(paths[i]) > 0 {
+			if err := c.call(method, paths[i], &None{}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
