--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -212,6 +212,8 @@
 	discovery DiscoveryReading
 	hollow    []Usage
 	real      []Usage
+	own       Usage         // of the run's own process, with the clients and the upstreams
+	cores     time.Duration // that the processors which the run may use were busy, with whatever
 	memory    int64
 }
 
@@ -229,12 +231,21 @@
 		failed = append(failed, c.call("Hollow.Read", heap, &x.hollow[i]))
 	}
 	for i, r := range f.reals {
+		select {
+		case <-r.child.ended: // with its zone: nothing is read
+			continue
+		default:
+		}
 		var err error
 		x.real[i], err = processUsage(r.child.cmd.Process.Pid)
 		failed = append(failed, err)
 	}
 	var err error
 	x.discovery, err = f.readDiscovery()
+	failed = append(failed, err)
+	x.own, err = ownUsage(false)
+	failed = append(failed, err)
+	x.cores, err = coresBusy()
 	x.at = time.Now()
 	return x, errors.Join(append(failed, err)...)
 }
@@ -259,6 +270,10 @@
 	Written    float64 `json:"discovery_out_bytes_per_s"`
 	DiscRSS    float64 `json:"discovery_rss_mb"`
 	Memory     float64 `json:"memory_mb"` // of all processes
+	// Driver is what the run's own process used, clients and upstreams with it. Others is what was used by no process of the
+	// run, on the processors that it may use, in processors: where it is not small, times are too long.
+	Driver float64 `json:"driver_cores"`
+	Others float64 `json:"others_cores"`
 }
 
 const mb = 1 << 20
@@ -279,14 +294,16 @@
 	if n := float64(f.size.Hollow); n > 0 {
 		x.HollowCPU, x.HollowRSS, x.HollowHeap = x.HollowCPU/n, x.HollowRSS/n, x.HollowHeap/n
 	}
-	counted := 0.0
+	counted, reals := 0.0, 0.0
 	for i := range b.real {
 		if used := b.real[i].CPU - a.real[i].CPU; used >= 0 { // a restarted one begins anew
-			x.RealCPU, counted = x.RealCPU+micros(used)/s, counted+1
+			reals, counted = reals+micros(used)/s, counted+1
 		}
 		x.RealRSS = max(x.RealRSS, float64(b.real[i].RSS)/mb)
 	}
-	x.RealCPU /= max(counted, 1)
+	x.RealCPU = reals / max(counted, 1)
+	x.Driver = micros(b.own.CPU-a.own.CPU) / s / 1e6
+	x.Others = max(0, micros(b.cores-a.cores)/s/1e6-x.Driver-x.HollowBusy-(x.Discovery+reals)/1e6)
 	return x
 }
 
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -98,7 +98,12 @@
 	row("discovery: KB/s, busiest second", func(p Phase) string { return fmt.Sprintf("%.0f, %.0f", p.Spent.Written/1000, p.Busiest.Written/1000) })
 	row("discovery: us of a core a second, busiest", func(p Phase) string { return fmt.Sprintf("%.0f, %.0f", p.Spent.Discovery, p.Busiest.Discovery) })
 	row("discovery: whole lists, failed calls", func(p Phase) string { return fmt.Sprintf("%.0f, %.0f", p.Spent.Whole, p.Spent.Failed) })
-	row("clients: requests", func(p Phase) string { return fmt.Sprint(p.Clients.Requests) })
+	row("cores: hollow, clients and upstreams, others", func(p Phase) string {
+		return fmt.Sprintf("%.2f, %.2f, %.2f", p.Spent.HollowBusy, p.Spent.Driver, p.Spent.Others)
+	})
+	row("clients: requests, of these moved to another balancer", func(p Phase) string {
+		return fmt.Sprintf("%d, %d", p.Clients.Requests, p.Clients.Moved)
+	})
 	row("clients: answers", func(p Phase) string { return counted(p.Clients.Statuses) })
 	row("clients: added p50 / p99 / max ms", func(p Phase) string {
 		return fmt.Sprintf("%.2f / %.2f / %.0f", p.Clients.AddedP50, p.Clients.AddedP99, p.Clients.AddedMax)
--- a/internal/scale/usage.go
+++ b/internal/scale/usage.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/prometheus/procfs"
+	"golang.org/x/sys/unix"
 )
 
 // This file reads what processes use: processor time by getrusage for the own one, by procfs for others, and memory.
@@ -52,3 +53,27 @@
 	}
 	return Usage{At: time.Now().UnixNano(), CPU: time.Duration(s.CPUTime() * float64(time.Second)), RSS: int64(s.ResidentMemory())}, nil
 }
+
+// coresBusy is how long the processors that this process may use have been busy, with whatever, since the machine's start. It
+// is counted in steps of 10 ms.
+func coresBusy() (time.Duration, error) {
+	var may unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &may); err != nil {
+		return 0, fmt.Errorf("reading the processors: %w", err)
+	}
+	fs, err := procfs.NewDefaultFS()
+	if err != nil {
+		return 0, fmt.Errorf("reading the processors: %w", err)
+	}
+	s, err := fs.Stat()
+	if err != nil {
+		return 0, fmt.Errorf("reading the processors: %w", err)
+	}
+	sum := 0.0
+	for n, c := range s.CPU {
+		if may.IsSet(int(n)) {
+			sum += c.User + c.Nice + c.System + c.IRQ + c.SoftIRQ + c.Steal
+		}
+	}
+	return time.Duration(sum * float64(time.Second)), nil
+}
--- a/internal/scale/vary.go
+++ b/internal/scale/vary.go
@@ -121,7 +121,8 @@
 	if n := float64(len(made)); n > 0 {
 		p.PerList = (p.Busy.HollowCPU - p.Rest.HollowCPU) * p.Busy.Seconds / n
 	}
-	p.Loaded = max(p.Rest.HollowBusy+p.Rest.Discovery/1e6, p.Busy.HollowBusy+p.Busy.Discovery/1e6) > busyMost*float64(r.processors)
+	busy := func(s Spent) float64 { return s.HollowBusy + s.Discovery/1e6 + s.Driver + s.Others }
+	p.Loaded = max(busy(p.Rest), busy(p.Busy)) > busyMost*float64(r.processors)
 	if !v.reloads {
 		return p, r.failure()
 	}
@@ -188,6 +189,7 @@
 	{"discovery's processor time while the list changes", "us of a core a second", false, func(p Point) float64 { return p.Busy.Discovery }},
 	{"discovery's calls while the list changes", "calls/s", false, func(p Point) float64 { return p.Busy.Calls }},
 	{"discovery's bytes out while the list changes", "B/s", false, func(p Point) float64 { return p.Busy.Written }},
+	{"cores that others used", "cores", false, func(p Point) float64 { return p.Busy.Others }},
 	{"a change of the settings", "ms of a core", true, func(p Point) float64 { return p.ReloadCPU }},
 }
 
