--- /dev/null
+++ b/internal/scale/inprocess_test.go
@@ -0,0 +1,174 @@
+package scale
+
+import (
+	"errors"
+	"math"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"clayladder"
+	"clayladder/internal/proxy"
+)
+
+// Every measurement gives a figure, here at its smallest size and in short batches.
+func TestInProcessMeasuresAll(t *testing.T) {
+	defer func(was time.Duration) { batchTime = was }(batchTime)
+	batchTime = time.Millisecond
+	seen := map[string]bool{}
+	for _, m := range inProcess {
+		if m.unit == "%" {
+			continue // the quotas' own test has them
+		}
+		if seen[m.name+"/"+m.varied] {
+			t.Errorf("%s over %s is there twice", m.name, m.varied)
+		}
+		seen[m.name+"/"+m.varied] = true
+		if len(m.sizes) < 4 || m.sizes[len(m.sizes)-1] < 8*m.sizes[0] {
+			t.Errorf("%s over %s: sizes %v are no four over a factor of eight", m.name, m.varied, m.sizes)
+		}
+		y, err := m.at(m.sizes[0])
+		if err != nil || math.IsNaN(y) || math.IsInf(y, 0) {
+			t.Errorf("%s over %s: %v, %v", m.name, m.varied, y, err)
+		}
+	}
+}
+
+func TestSlopeThatCannotBeMeasuredSaysWhy(t *testing.T) {
+	m := measurement{name: "x", sizes: []int{1, 2, 4, 8}, at: func(n int) (float64, error) {
+		if n == 4 {
+			return 0, errors.New("no room")
+		}
+		return float64(n), nil
+	}}
+	if s := m.slope(); len(s.X) != 0 || s.Fit.Form != NoForm || !strings.Contains(s.Note, "not run: at 4: no room") {
+		t.Errorf("%+v", s)
+	}
+	m.sizes = []int{1, 2, 8}
+	if s := m.slope(); len(s.X) != 3 || s.Fit.Form != Linear || s.Note != "" {
+		t.Errorf("%+v", s)
+	}
+}
+
+// What is measured is what it is said to be: the configuration holds so many of each, and they arrive.
+func TestConfigHoldsWhatIsVaried(t *testing.T) {
+	getenv, remove, err := configFile(5, 7, 11)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer remove()
+	c, err := proxy.LoadConfig(getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(c.Settings.Classes) != 5 || len(c.Settings.Tenants) != 7 || len(c.Known.Members) != 11 {
+		t.Errorf("%d classes, %d tenants, %d upstreams", len(c.Settings.Classes), len(c.Settings.Tenants), len(c.Known.Members))
+	}
+	if _, err := clayladder.New(c.Settings, 1, 0, &host{}); err != nil {
+		t.Error(err)
+	}
+}
+
+// allocated is how many bytes op allocates, the least of some runs.
+func allocated(op func()) float64 {
+	op()
+	best := math.Inf(1)
+	for range 5 {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		op()
+		runtime.ReadMemStats(&after)
+		best = min(best, float64(after.TotalAlloc-before.TotalAlloc))
+	}
+	return best
+}
+
+// What the module does for a change, for a second and for its settings grows no more steeply than the list or the
+// settings. It is judged by the bytes that it allocates, which no other process changes.
+func TestControlGrowsNoSteeperThanTheFleet(t *testing.T) {
+	const small, times, margin = 200, 8, 1.5
+	for _, c := range []struct {
+		name string
+		at   func(n int) func()
+	}{
+		{"change", func(n int) func() {
+			b, _, err := balancer(n, 2, 2)
+			if err != nil {
+				t.Fatal(err)
+			}
+			entry, now := upstreamList(n)[:1], time.Duration(0)
+			return func() {
+				now += time.Millisecond
+				entry[0].State = clayladder.Draining - entry[0].State
+				b.Members(now, clayladder.ListDelta, entry)
+			}
+		}},
+		{"step", func(n int) func() {
+			b, h, err := balancer(n, 2, 2)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := time.Duration(0)
+			return func() {
+				now += time.Second
+				b.Timer(now, h.tick)
+			}
+		}},
+		{"New over classes", func(n int) func() {
+			s := settingsOf(n, 2)
+			return func() {
+				if _, err := clayladder.New(s, 1, 0, &host{}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}},
+		{"New over tenants", func(n int) func() {
+			s := settingsOf(2, n)
+			return func() {
+				if _, err := clayladder.New(s, 1, 0, &host{}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}},
+	} {
+		one, eight := allocated(c.at(small)), allocated(c.at(small*times))
+		if eight > times*margin*one {
+			t.Errorf("%s: %.0f bytes at %d, %.0f at %d", c.name, one, small, eight, small*times)
+		}
+	}
+}
+
+// A request that is sent asks one thing of the Host, however long the list is.
+func TestRequestAsksOneSendHoweverLongTheList(t *testing.T) {
+	for _, n := range []int{500, 4000} {
+		b, h, err := balancer(n, 2, 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Request(time.Minute, clayladder.Request{ID: 1, Budget: time.Second, Class: className(0)})
+		b.Outcome(time.Minute+time.Millisecond, clayladder.Outcome{ID: 1, Upstream: h.up, Latency: time.Millisecond})
+		if h.sent != 1 || h.refused != 0 {
+			t.Errorf("%d upstreams: sent %d times, refused %d times", n, h.sent, h.refused)
+		}
+	}
+}
+
+// The share taken for over a quota goes by the requests' own clock alone, so it is the same each time. One balancer
+// lets nearly all pass; these are upper bounds, and what mends the quotas of a fleet lowers them.
+func TestQuotaShare(t *testing.T) {
+	const span = 5000 * time.Second
+	for _, c := range []struct {
+		balancers, used int
+		most            float64 // percent
+	}{{1, 1, 10}, {3, 3, 20}, {30, 30, 50}, {Balancers, 8, 99.5}} {
+		share, err := quotaShare(c.balancers, c.used, span)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, _ := quotaShare(c.balancers, c.used, span)
+		if share > c.most || share != again {
+			t.Errorf("%d of %d balancers: %.1f%%, then %.1f%%, at most %.1f%%", c.used, c.balancers, share, again, c.most)
+		}
+	}
+}
