--- a/internal/scale/discovery.go
+++ b/internal/scale/discovery.go
@@ -47,7 +47,7 @@
 	Whole    int64 `json:"whole"`    // whole lists written
 	Failed   int64 `json:"failed"`   // refused for their turn, or cut by a machine that went
 	Entries  int64 `json:"entries"`  // written
-	Body     int64 `json:"body"`     // bytes of answers, without head
+	Body     int64 `json:"body"`     // bytes of answers that hold entries, without heads
 	BytesIn  int64 `json:"bytes_in"` // on the connections
 	BytesOut int64 `json:"bytes_out"`
 	Waiting  int64 `json:"waiting"` // watches that wait now
@@ -82,6 +82,8 @@
 	server *http.Server
 	life   context.Context // ends when the mode changes
 	end    context.CancelFunc
+
+	waiting atomic.Int64 // watches that wait here
 }
 
 // newMachine is up at address; port 0 takes any.
@@ -180,7 +182,9 @@
 		m.counts.whole.Add(1)
 	}
 	m.counts.entries.Add(int64(a.entries))
-	m.counts.body.Add(int64(len(a.body)))
+	if a.entries > 0 {
+		m.counts.body.Add(int64(len(a.body)))
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	w.Write(a.body) // who has gone asks again
@@ -238,6 +242,8 @@
 	if err != nil || since == 0 || a.revision != since || wait == 0 {
 		return a, err
 	}
+	m.waiting.Add(1)
+	defer m.waiting.Add(-1)
 	m.counts.waiting.Add(1)
 	defer m.counts.waiting.Add(-1)
 	over := time.NewTimer(wait)
--- /dev/null
+++ b/internal/scale/discovery_test.go
@@ -0,0 +1,177 @@
+package scale
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// standIn is a discovery of one machine with n upstreams.
+func standIn(t *testing.T, n int, costs Costs) (*Discovery, string) {
+	t.Helper()
+	d := &Discovery{}
+	var addresses []string
+	if err := d.Start(DiscoveryStart{Machines: 1, Upstreams: n, Zones: 2, Addresses: []string{"127.0.0.1:1"}, Costs: costs}, &addresses); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Stop)
+	return d, "http://" + addresses[0] + "/v1/servers"
+}
+
+// get makes a call and returns the list, or the status where it is none.
+func get(url string) (Listing, int, error) {
+	var x Listing
+	resp, err := http.Get(url)
+	if err != nil {
+		return x, 0, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode == http.StatusOK {
+		err = json.Unmarshal(text, &x)
+	}
+	return x, resp.StatusCode, err
+}
+
+func TestStandInTellsChangesAndWholeLists(t *testing.T) {
+	d, url := standIn(t, 10, Costs{})
+	whole, _, err := get(url)
+	if err != nil || !whole.Complete || whole.Revision != 1 || len(whole.Members) != 10 {
+		t.Fatalf("whole list: %v, %+v", err, whole)
+	}
+	if x, _, err := get(url + "?since=1&timeout_ms=1"); err != nil || x.Complete || x.Revision != 1 || x.Members == nil || len(x.Members) != 0 {
+		t.Errorf("a watch without news: %v, %+v; want no entries", err, x)
+	}
+	heard := make(chan Listing, 1)
+	go func() {
+		x, _, _ := get(url + "?since=1&timeout_ms=60000")
+		heard <- x
+	}()
+	for d.counts.waiting.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	var made Made
+	d.Release(None{}, &made)
+	if x := <-heard; x.Complete || x.Revision != 2 || len(x.Members) != 1 || x.Members[0].Phase != "draining" {
+		t.Errorf("a watch that waited: %+v; want one that drains", x)
+	}
+	d.Release(None{}, &made)
+	d.Release(None{}, &made)
+	x, _, err := get(url + "?since=1&timeout_ms=60000")
+	if err != nil || x.Revision != 4 || len(x.Members) != 2 || x.Members[0].Phase != "up" || x.Members[1].Phase != "removed" {
+		t.Errorf("three changes of two upstreams: %v, %+v; want the newest state of each", err, x)
+	}
+	if x, _, _ := get(url + "?since=99&timeout_ms=1"); !x.Complete {
+		t.Errorf("a revision that never was: %+v; want the whole list", x)
+	}
+	for range history + 1 {
+		d.Release(None{}, &made)
+	}
+	if x, _, _ := get(url + "?since=2&timeout_ms=1"); !x.Complete || len(x.Members) != 9 && len(x.Members) != 10 {
+		t.Errorf("a revision from before what is kept: %+v; want the whole list", x)
+	}
+	if _, status, _ := get(url + "?since=x&timeout_ms=1"); status != http.StatusBadRequest {
+		t.Errorf("a since that is no number: status %d", status)
+	}
+}
+
+// Calls wait for their turn, and one that would wait too long fails.
+func TestStandInServesInTurn(t *testing.T) {
+	d, url := standIn(t, 2, Costs{})
+	m := d.machines[0]
+	m.costs = Costs{Call: time.Second, Entry: 10 * time.Second}
+	first, ok := m.turn(&answer{entries: 0})
+	second, ok2 := m.turn(&answer{entries: 0})
+	third, ok3 := m.turn(&answer{entries: 1})
+	if !ok || !ok2 || !ok3 || second.Sub(first) != time.Second || third.Sub(second) != 11*time.Second {
+		t.Errorf("turns end %v and %v after the first", second.Sub(first), third.Sub(first))
+	}
+	if _, status, err := get(url); err != nil || status != http.StatusServiceUnavailable {
+		t.Errorf("a call behind 13 s of others: %d, %v; want 503", status, err)
+	}
+	want(t, "failed", d.counts.failed.Load(), 1)
+}
+
+// Down, a machine refuses and resets; silent, it says nothing on what is open until it is back, and resets that then.
+func TestStandInGoesAndComesBack(t *testing.T) {
+	d, url := standIn(t, 2, Costs{})
+	set := func(m Mode) {
+		t.Helper()
+		if err := d.Set(MachineMode{0, m}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	watch := func() chan error {
+		ended, waiting := make(chan error, 1), d.counts.waiting.Load()
+		go func() {
+			_, _, err := get(url + "?since=1&timeout_ms=60000")
+			ended <- err
+		}()
+		for d.counts.waiting.Load() == waiting {
+			time.Sleep(time.Millisecond)
+		}
+		return ended
+	}
+	ended := watch()
+	set(ModeDown)
+	if err := <-ended; err == nil {
+		t.Error("a watch outlived its machine")
+	}
+	if _, _, err := get(url); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("a call while it is down: %v; want it refused", err)
+	}
+	set(ModeUp)
+	ended = watch()
+	set(ModeSilent)
+	var made Made
+	d.Release(None{}, &made) // what a machine that says nothing knows is not told
+	for d.counts.waiting.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c, err := net.Dial("tcp", d.machines[0].address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "GET /v1/servers HTTP/1.1\r\nHost: x\r\n\r\n")
+	select {
+	case err := <-ended:
+		t.Errorf("a watch of a silent machine ended: %v", err)
+	default:
+	}
+	set(ModeUp)
+	if err := <-ended; err == nil {
+		t.Error("a watch was answered that its machine had left")
+	}
+	if x, _, err := get(url); err != nil || x.Revision != 2 {
+		t.Errorf("back: %v, %+v; want revision 2", err, x)
+	}
+}
+
+// The operators' two programs hold nothing of the scale run, and nothing that is not this module's or the standard library's.
+func TestProgramsHoldNothingOfTheRun(t *testing.T) {
+	cmd := exec.Command("go", "list", "-deps", "-f", "{{if not .Standard}}{{.ImportPath}}{{end}}", "./cmd/olivearch", "./cmd/clayladder-sim")
+	cmd.Dir = filepath.Join("..", "..")
+	out, err := cmd.Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	packages := strings.Fields(string(out))
+	if len(packages) < 4 {
+		t.Fatalf("packages: %v", packages)
+	}
+	for _, p := range packages {
+		if p != "clayladder" && !strings.HasPrefix(p, "clayladder/") || strings.HasPrefix(p, "clayladder/internal/scale") {
+			t.Errorf("the programs hold %s", p)
+		}
+	}
+}
