--- a/cmd/olivearch/main.go
+++ b/cmd/olivearch/main.go
@@ -45,28 +45,19 @@
 			debug.SetMemoryLimit(limit)
 		}
 	}
-	slog.Info("starting", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Members))
+	name := c.Name // c is not held on to: it has the plan of the start
+	slog.Info("starting", "name", name, "listen", c.Listen, "known", len(c.Known.Members), "configuration", c.Hash)
 	listener, err := proxy.Listen(&c)
 	if err != nil {
 		return err
 	}
-	reloads := make(chan proxy.Config, 1)
-	go reload(hangups, reloads)
+	reloads := make(chan proxy.Reload)
+	life, end := context.WithCancel(context.Background()) // SIGTERM does not end it: what was taken is still answered
+	defer end()
+	go proxy.NewReloader(os.Getenv, c).Follow(life, hangups, reloads)
 	if err := proxy.Run(ctx, c, listener, reloads); err != nil {
 		return err
 	}
-	slog.Info("stopped", "name", c.Name)
+	slog.Info("stopped", "name", name)
 	return nil
 }
-
-// reload reads the configuration again on each SIGHUP. A bad one is logged, and the one before stays.
-func reload(hangups <-chan os.Signal, reloads chan<- proxy.Config) {
-	for range hangups {
-		c, err := proxy.ReloadConfig(os.Getenv)
-		if err != nil {
-			slog.Error("reading the configuration again: the old one stays", "err", err)
-			continue
-		}
-		reloads <- c
-	}
-}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -4,12 +4,12 @@
 package proxy
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"clayladder"
@@ -31,13 +31,17 @@
 	MemoryMB  int
 	Sockets   int
 	Known     listing // the upstreams as last held, maybe stale
-	Settings  clayladder.Settings
+	Plan      *clayladder.Plan
 	Links     wire.Links
+	Hash      string // of the file as it was read: the first twelve hex digits of its SHA-256
+	// SettingsInForce, if set, is called on the loop when a configuration that was read again is in force, with its Hash
+	// and the time since its signal.
+	SettingsInForce func(hash string, took time.Duration)
 	// Overlap, if set, is called when another process of this balancer begins or ends to live beside this one.
 	Overlap func(on bool)
 }
 
-// file is the configuration file's form.
+// file is the configuration file's form, but for what is decoded part by part.
 type file struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
@@ -48,34 +52,32 @@
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int `json:"sockets"`
 	} `json:"limits"`
-	Known    listing         `json:"known"`
-	Settings json.RawMessage `json:"settings"`
 }
 
 // LoadConfig reads the file that RELAY_CONFIG names. The other RELAY_ variables go before what it says.
 func LoadConfig(getenv func(string) string) (Config, error) {
-	path := getenv("RELAY_CONFIG")
-	if path == "" {
-		return Config{}, errors.New("RELAY_CONFIG is not set")
-	}
-	text, err := os.ReadFile(path)
+	text, hash, err := readConfig(getenv, nil)
 	if err != nil {
-		return Config{}, fmt.Errorf("RELAY_CONFIG: %w", err)
-	}
-	var f file
-	if err := json.Unmarshal(text, &f); err != nil {
-		return Config{}, fmt.Errorf("%s: %w", path, err)
+		return Config{}, err
 	}
-	for name, to := range map[string]*string{"RELAY_NAME": &f.Name, "RELAY_LISTEN": &f.Listen, "RELAY_DISCOVERY": &f.Discovery,
-		"RELAY_OPERATOR": &f.Operator} {
-		if v := getenv(name); v != "" {
-			*to = v
+	return parseConfig(getenv, text, hash, nil)
+}
+
+// parseConfig checks a configuration, in slices.
+func parseConfig(getenv func(string) string, text []byte, hash string, work *slicer) (Config, error) {
+	path := getenv("RELAY_CONFIG")
+	c, err := decodeConfig(text, work, func(f *file) {
+		for name, to := range map[string]*string{"RELAY_NAME": &f.Name, "RELAY_LISTEN": &f.Listen,
+			"RELAY_DISCOVERY": &f.Discovery, "RELAY_OPERATOR": &f.Operator} {
+			if v := getenv(name); v != "" {
+				*to = v
+			}
 		}
-	}
-	c, err := f.config()
+	})
 	if err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
+	c.Hash = hash
 	if c.StateDir = getenv("TMPDIR"); c.StateDir == "" {
 		c.StateDir = os.TempDir()
 	}
@@ -87,56 +89,99 @@
 	return c, nil
 }
 
-// ReloadConfig reads the file again. RELAY_DISCOVERY still names the address of the start, so the file's goes before it.
-func ReloadConfig(getenv func(string) string) (Config, error) {
-	return LoadConfig(func(name string) string {
-		if name == "RELAY_DISCOVERY" {
-			return ""
+// decodeConfig decodes and checks a configuration, with what goes before the file's own words put in by override.
+func decodeConfig(text []byte, work *slicer, override func(*file)) (Config, error) {
+	var c Config
+	var f file
+	var settings clayladder.Settings
+	told := false
+	d := wire.NewDecoder(text, work.step)
+	err := d.Object(func(key string) (err error) {
+		switch {
+		case strings.EqualFold(key, "known"):
+			err = decodeKnown(d, &c.Known)
+		case strings.EqualFold(key, "settings"):
+			told = true
+			settings, c.Links, err = d.Settings()
+		default:
+			err = d.Field(key, &f)
+		}
+		return err
+	})
+	if err == nil {
+		err = d.End()
+	}
+	if err != nil {
+		return c, err
+	}
+	override(&f)
+	if err := f.check(&c); err != nil {
+		return c, err
+	}
+	if !told {
+		return c, errors.New("settings are missing")
+	}
+	if c.Links.KeepAlive <= 0 || c.Links.ConnectTimeout <= 0 {
+		return c, errors.New("settings: limits: keepalive_us and connect_timeout_us must be over zero")
+	}
+	if c.Plan, err = clayladder.NewPlan(settings, work.step); err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
+	return c, nil
+}
+
+// decodeKnown decodes and checks the list that was last held.
+func decodeKnown(d *wire.Decoder, known *listing) error {
+	var head struct {
+		Revision uint64 `json:"revision"`
+		Complete bool   `json:"complete"`
+	}
+	err := d.Object(func(key string) error {
+		if !strings.EqualFold(key, "members") {
+			return d.Field(key, &head)
 		}
-		return getenv(name)
+		known.Members = nil
+		return d.List(func(i int) error {
+			var m member
+			if err := d.Decode(&m); err != nil {
+				return fmt.Errorf("members: entry %d: %w", i, err)
+			}
+			known.Members = append(known.Members, m)
+			return m.check()
+		})
 	})
+	if known.Revision, known.Complete = head.Revision, head.Complete; err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	return nil
 }
 
-// config checks what was read.
-func (f *file) config() (Config, error) {
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Operator: f.Operator, Known: f.Known,
-		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets}
+// check checks what was read and puts it into c.
+func (f *file) check(c *Config) error {
+	c.Name, c.Listen, c.Discovery, c.Operator = f.Name, f.Listen, f.Discovery, f.Operator
+	c.MemoryMB, c.Sockets = f.Limits.MemoryMB, f.Limits.Sockets
 	var err error
 	if _, err = netip.ParseAddrPort(c.Listen); err != nil {
-		return c, fmt.Errorf("listen: %w", err)
+		return fmt.Errorf("listen: %w", err)
 	}
 	if _, err = netip.ParseAddrPort(c.Discovery); err != nil {
-		return c, fmt.Errorf("discovery: %w", err)
+		return fmt.Errorf("discovery: %w", err)
 	}
 	if c.Operator != "" {
 		if _, err = netip.ParseAddrPort(c.Operator); err != nil {
-			return c, fmt.Errorf("operator: %w", err)
+			return fmt.Errorf("operator: %w", err)
 		}
 	}
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
-		return c, fmt.Errorf("seed: %w", err)
+		return fmt.Errorf("seed: %w", err)
 	}
 	if c.MemoryMB < 16 {
-		return c, fmt.Errorf("limits: memory_mb is %d; at least 16 is needed", c.MemoryMB)
+		return fmt.Errorf("limits: memory_mb is %d; at least 16 is needed", c.MemoryMB)
 	}
 	if c.Sockets < 64 {
-		return c, fmt.Errorf("limits: sockets is %d; at least 64 are needed", c.Sockets)
+		return fmt.Errorf("limits: sockets is %d; at least 64 are needed", c.Sockets)
 	}
-	if len(f.Settings) == 0 {
-		return c, errors.New("settings are missing")
-	}
-	if c.Settings, c.Links, err = wire.DecodeSettings(f.Settings); err != nil {
-		return c, err
-	}
-	if c.Links.KeepAlive <= 0 || c.Links.ConnectTimeout <= 0 {
-		return c, errors.New("settings: limits: keepalive_us and connect_timeout_us must be over zero")
-	}
-	for _, m := range c.Known.Members {
-		if err := m.check(); err != nil {
-			return c, fmt.Errorf("known: %w", err)
-		}
-	}
-	return c, nil
+	return nil
 }
 
 // Descriptors: clients hold a third at most for requests, so upstreams need no more. A reserve is for the listener,
@@ -159,12 +204,3 @@
 // held is how much of bodies may be held at once: a quarter of the memory, beside the program, its connections and what
 // the collector leaves lying.
 func (c *Config) held() int64 { return int64(c.MemoryMB) << 20 / 4 }
-
-// longest is the longest time that a client waits.
-func (c *Config) longest() time.Duration {
-	var d time.Duration
-	for _, class := range c.Settings.Classes {
-		d = max(d, class.Deadline)
-	}
-	return d
-}
--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -38,7 +38,8 @@
 	want(t, "seed", c.Seed, uint64(0x8c1f30d27a5be964))
 	want(t, "known", c.Known.Revision, uint64(41))
 	want(t, "keep-alive", c.Links.KeepAlive, time.Minute)
-	want(t, "classes", len(c.Settings.Classes), 3)
+	classes, _ := c.Plan.Size()
+	want(t, "classes", classes, 3)
 }
 
 // RELAY_DISCOVERY names the address of the start. After that the file's holds.
@@ -54,11 +55,12 @@
 		t.Fatal(err)
 	}
 	want(t, "at the start", c.Discovery, "127.0.0.1:1")
-	if c, err = ReloadConfig(getenv); err != nil {
+	x, err := NewReloader(getenv, c).read(nil)
+	if err != nil {
 		t.Fatal(err)
 	}
-	want(t, "read again", c.Discovery, "127.0.0.1:8500")
-	want(t, "name", c.Name, "n4")
+	want(t, "read again", x.Discovery, "127.0.0.1:8500")
+	want(t, "bytes", x.Hash, c.Hash)
 }
 
 func TestConfigNamesWhatIsWrong(t *testing.T) {
@@ -145,9 +147,7 @@
 	}
 	l := newLoop(t.Context(), &c)
 	l.maxConns = 0
-	if err := l.start(&c, nil); err != nil {
-		t.Fatal(err)
-	}
+	l.start(&c, nil)
 	r := &request{at: l.now(), reply: make(chan answer, 1)}
 	r.Class, r.Budget = "checkin", time.Second
 	arrived{r}.apply(l)
--- a/internal/proxy/discovery_test.go
+++ b/internal/proxy/discovery_test.go
@@ -115,7 +115,10 @@
 func TestThousandServersAndBalancers(t *testing.T) {
 	const fleet = 1024
 	s := newServer(t, okAll)
-	b := newBalancerWith(t, func(c *Config) { c.Settings.Balancers, c.MemoryMB, c.Sockets = fleet, 32, 256 })
+	b := newBalancerWith(t, func(c *Config) {
+		c.Plan = configOf(t, c.Discovery, nil, `"balancers":1`, fmt.Sprint(`"balancers":`, fleet)).Plan
+		c.MemoryMB, c.Sockets = 32, 256
+	})
 	var list []member
 	for i := range fleet {
 		list = append(list, up(fmt.Sprintf("s-%08x", 0x9e3779b9*uint32(i)), s))
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -124,11 +124,10 @@
 
 // frontend takes requests from clients, hands them to the loop and writes its answers.
 type frontend struct {
-	classes  map[string]clayladder.Class
+	plan     atomic.Pointer[clayladder.Plan] // in force
 	held     *holder
 	post     func(event)
 	now      func() time.Duration
-	longest  time.Duration
 	listener net.Listener
 	shared   bool // the listener is one that another process takes connections from as well
 
@@ -145,12 +144,9 @@
 }
 
 func newFrontend(c *Config, listener net.Listener, l *loop) *frontend {
-	f := &frontend{held: &l.held, now: l.now, post: l.post, listener: listener, longest: c.longest(),
-		classes: map[string]clayladder.Class{},
-		shared:  c.Inherited != 0, room: c.clientConns(), clients: map[*client]struct{}{}}
-	for _, class := range c.Settings.Classes {
-		f.classes[class.Name] = class
-	}
+	f := &frontend{held: &l.held, now: l.now, post: l.post, listener: listener,
+		shared: c.Inherited != 0, room: c.clientConns(), clients: map[*client]struct{}{}}
+	f.plan.Store(c.Plan)
 	return f
 }
 
@@ -298,7 +294,7 @@
 // process at once.
 func (f *frontend) stop() {
 	f.mu.Lock()
-	f.leaving, f.killAt = true, time.Now().Add(min(f.longest, longestTaken)+killGrace-firstBytes)
+	f.leaving, f.killAt = true, time.Now().Add(min(f.plan.Load().Longest(), longestTaken)+killGrace-firstBytes)
 	wait := lameDuck
 	if f.shared {
 		wait = idleGrace
@@ -754,7 +750,7 @@
 // check reads what a request says of itself. A field that is there must be right: a guess at what was meant would be
 // served in its place.
 func (f *frontend) check(method, target string, h textproto.MIMEHeader) (*request, error) {
-	class, ok := f.classes[h.Get("X-Class")]
+	class := f.plan.Load().Terms(h.Get("X-Class"))
 	path, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "?")
 	first, _, _ := strings.Cut(path, "/")
 	id, key := h.Get("X-Request-Id"), h.Get("Idempotency-Key")
@@ -763,7 +759,7 @@
 		return nil, bad("the target is no path")
 	case h.Get("Host") == "":
 		return nil, bad("Host is wanted")
-	case !ok:
+	case class == nil:
 		return nil, bad("X-Class names no known class")
 	case first != class.Name:
 		return nil, bad("the path does not begin with the class")
@@ -776,7 +772,7 @@
 		return nil, bad("Idempotency-Key does not fit the class")
 	}
 	q := &request{name: id, reply: make(chan answer, 1)}
-	q.Class, q.Tenant, q.Retry = class.Name, h.Get("X-Tenant"), h.Get("X-Retry") == "1"
+	q.Class, q.Terms, q.Tenant, q.Retry = class.Name, class, h.Get("X-Tenant"), h.Get("X-Retry") == "1"
 	q.Budget = class.Deadline
 	if len(h["X-Deadline-Ms"]) > 0 {
 		ms, ok := digits(h.Get("X-Deadline-Ms"))
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"reflect"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -134,8 +133,8 @@
 
 func newLoop(ctx context.Context, c *Config) *loop {
 	l := &loop{ctx: ctx, events: make(chan event, 1024), lists: make(chan listed, 4), calls: make(chan called, adminConns), logs: make(chan string, logQueue),
-		origin: time.Now(), dial: dialer{open: net.DialTimeout, timeout: c.Links.ConnectTimeout}, settings: c.Settings,
-		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.upstreamConns(),
+		origin: time.Now(), dial: dialer{open: net.DialTimeout, timeout: c.Links.ConnectTimeout}, settings: c.Plan.Settings(),
+		idleFor: idleFor(c.Links), maxConns: c.upstreamConns(),
 		names: newNames(), requests: map[clayladder.RequestID]*request{}, open: map[string]bool{},
 		peers: map[clayladder.UpstreamID]*peer{}, off: map[string]clayladder.UpstreamID{}, ids: newIDs()}
 	// The clock is Unix time at the start, going on by the monotonic clock: what discovery dates stands on it as it
@@ -161,17 +160,13 @@
 func (l *loop) list(x listed) { l.lists <- x }
 
 // start makes the Balancer and tells it the upstreams that were known before.
-func (l *loop) start(c *Config, offline []string) error {
-	var err error
-	if l.balancer, err = clayladder.New(c.Settings, c.Seed, l.now(), l); err != nil {
-		return err
-	}
+func (l *loop) start(c *Config, offline []string) {
+	l.balancer = clayladder.NewWith(c.Plan, c.Seed, l.now(), l)
 	l.obey(offline)
 	l.members(clayladder.ListCached, c.Known)
-	if !c.Settings.OnRequest { // lists that are pushed come without the module's asking
+	if !l.settings.OnRequest { // lists that are pushed come without the module's asking
 		l.Watch(true)
 	}
-	return nil
 }
 
 // run handles events until the context ends.
@@ -494,10 +489,9 @@
 		return
 	}
 	p.out[a] = struct{}{}
-	go func() {
-		res := l.dial.run(a)
-		l.post(finished{a, res})
-	}()
+	go func(d dialer) { // as it is now: a reload may change it
+		l.post(finished{a, d.run(a)})
+	}(l.dial)
 }
 
 // connection takes an idle connection to p, the most recently used that has rested, or else counts one that is to be
@@ -596,10 +590,9 @@
 	if b.conn, room = l.connection(p, b.sentAt); !room {
 		return
 	}
-	go func() {
-		res := l.dial.probe(b)
-		l.post(probed{b, res})
-	}()
+	go func(d dialer) {
+		l.post(probed{b, d.probe(b)})
+	}(l.dial)
 }
 
 // probed is the end of a probe.
@@ -758,25 +751,6 @@
 
 // --- Discovery ---
 
-// reloaded is a new configuration. What it says of discovery holds from now on; the rest is read at a start only.
-type reloaded struct{ Config }
-
-func (e reloaded) apply(l *loop) {
-	if !reflect.DeepEqual(e.Settings, l.settings) {
-		l.Log("configuration: the settings have changed: they take effect at the next start")
-	}
-	if e.Discovery == l.discovery.address {
-		l.Log("configuration read again: discovery is where it was")
-		return
-	}
-	l.Log(fmt.Sprintf("configuration read again: discovery is at %s, no longer at %s", e.Discovery, l.discovery.address))
-	l.discovery.end()
-	l.discovery, l.revision = newDiscovery(l.ctx, e.Discovery, l.list), 0
-	if l.stopWatch != nil {
-		l.balancer.Members(l.now(), clayladder.ListStale, nil)
-	}
-}
-
 // hear takes an answer of discovery.
 func (l *loop) hear(x listed) {
 	switch {
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -15,7 +15,8 @@
 // hand is a loop that a test turns by hand.
 type hand struct {
 	*loop
-	t *testing.T
+	t    *testing.T
+	plan *clayladder.Plan
 }
 
 func newHand(t *testing.T) *hand {
@@ -26,11 +27,9 @@
 	}
 	c.Known = listing{}
 	l := newLoop(t.Context(), &c)
-	if err := l.start(&c, nil); err != nil {
-		t.Fatal(err)
-	}
+	l.start(&c, nil)
 	l.Watch(false) // nothing listens there
-	return &hand{l, t}
+	return &hand{l, t, c.Plan}
 }
 
 func (h *hand) list(revision uint64, members ...member) {
@@ -437,8 +436,7 @@
 		"silent": {func(h *hand) { h.hear(listed{from: h.discovery, err: errSilent}) }, true},
 		"moved": {func(h *hand) {
 			h.stopWatch = func() {} // one is open
-			next := Config{Settings: h.settings, Discovery: "127.0.0.1:9"}
-			reloaded{next}.apply(h.loop)
+			reloaded{again(Config{Plan: h.plan, Discovery: "127.0.0.1:9"}), nil}.apply(h.loop)
 		}, true},
 		"failed": {func(h *hand) { h.hear(listed{from: h.discovery, err: io.ErrUnexpectedEOF}) }, false},
 	} {
--- a/internal/proxy/message_test.go
+++ b/internal/proxy/message_test.go
@@ -9,8 +9,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"clayladder"
 )
 
 // said is a connection on which all has been said.
@@ -82,10 +80,10 @@
 	} {
 		f.Add([]byte(text))
 	}
-	fe := &frontend{classes: map[string]clayladder.Class{
-		"checkin": {Name: "checkin", Deadline: time.Second, Repeat: clayladder.Unsafe},
-		"read":    {Name: "read", Deadline: time.Second, Repeat: clayladder.Safe},
-	}, now: func() time.Duration { return 0 }, held: newHolder()}
+	fe := &frontend{now: func() time.Duration { return 0 }, held: newHolder()}
+	fe.plan.Store(configOf(f, "127.0.0.1:8500", nil, `"name":"read","target_us":2000000,"give_up_us":4000000`,
+		`"name":"read","target_us":1000000,"give_up_us":1000000`, `"name":"checkin","target_us":2000000,"give_up_us":4000000`,
+		`"name":"checkin","target_us":1000000,"give_up_us":1000000`).Plan)
 	f.Fuzz(func(t *testing.T, text []byte) {
 		pace := &pacer{Conn: said{Reader: bytes.NewReader(text)}}
 		c := &client{stream: newStream(pace, 4<<10), pace: pace}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -6,13 +6,13 @@
 )
 
 // Run serves the clients of listener until ctx ends, and then until all that was taken is answered. Each
-// configuration from reloads takes the place of the one before.
-func Run(ctx context.Context, c Config, listener net.Listener, reloads <-chan Config) error {
+// configuration from reloads, which a Reloader makes, takes the place of the one before.
+func Run(ctx context.Context, c Config, listener net.Listener, reloads <-chan Reload) error {
 	return run(ctx, c, listener, reloads, func(*loop) {})
 }
 
 // run is Run; made is told of the loop before it turns.
-func run(ctx context.Context, c Config, listener net.Listener, reloads <-chan Config, made func(*loop)) error {
+func run(ctx context.Context, c Config, listener net.Listener, reloads <-chan Reload, made func(*loop)) error {
 	life, end := context.WithCancel(context.Background())
 	defer end()
 	operators, err := listenForOperators(c.Operator)
@@ -31,9 +31,8 @@
 		defer b.close()
 		held = *b.held.Load()
 	}
-	if err := l.start(&c, held.Offline); err != nil {
-		return err
-	}
+	l.start(&c, held.Offline)
+	c.Plan, c.Known = nil, listing{} // others hold what is in force
 	f.drain(held.OutOfService)
 	go l.run()
 	began := make(chan struct{})
@@ -60,8 +59,8 @@
 	done, stopped := ctx.Done(), make(chan struct{})
 	for {
 		select {
-		case c := <-reloads: // also while what was taken is answered: discovery may be moving just then
-			l.post(reloaded{c})
+		case x := <-reloads: // also while what was taken is answered: discovery may be moving just then
+			l.post(reloaded{x, f})
 		case err := <-served:
 			if done != nil {
 				return err
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -143,7 +143,7 @@
 	cancel   context.CancelFunc
 	ended    chan error
 	config   Config
-	reloads  chan Config
+	reloads  chan Reload
 	client   *http.Client
 	loop     *loop
 }
@@ -157,20 +157,14 @@
 func newBalancerWith(t *testing.T, set func(*Config), members ...member) *balancer {
 	t.Helper()
 	g := newRegistry(t)
-	f := file{Name: "n0", Listen: "127.0.0.1:0", Discovery: g.addr, Seed: "8c1f30d27a5be964",
-		Known: listing{Revision: 10, Complete: true, Members: members}, Settings: json.RawMessage(settingsText)}
-	f.Limits.MemoryMB, f.Limits.Sockets = 192, 1024
-	c, err := f.config()
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := configOf(t, g.addr, members)
 	set(&c)
 	l, err := Listen(&c)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	b := &balancer{url: "http://" + l.Addr().String(), registry: g, cancel: cancel, ended: make(chan error, 1), config: c, reloads: make(chan Config),
+	b := &balancer{url: "http://" + l.Addr().String(), registry: g, cancel: cancel, ended: make(chan error, 1), config: c, reloads: make(chan Reload),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
 	loops := make(chan *loop, 1)
 	go func() { b.ended <- run(ctx, c, l, b.reloads, func(l *loop) { loops <- l }) }()
@@ -844,7 +838,7 @@
 	next := newRegistry(t)
 	c := b.config
 	c.Discovery = next.addr
-	b.reloads <- c
+	b.reloads <- again(c)
 	want(t, "call at the new discovery", <-next.calls, "")
 	select { // the call at the old one has been ended; its answer, should it still be written, is too late
 	case b.registry.answers <- listing{Revision: 30, Complete: true, Members: []member{up("s-00000001", one)}}:
@@ -867,13 +861,11 @@
 		t.Fatal(err)
 	}
 	l := newLoop(t.Context(), &c)
-	if err := l.start(&c, nil); err != nil {
-		t.Fatal(err)
-	}
+	l.start(&c, nil)
 	old := l.discovery
 	next := c
 	next.Discovery = "127.0.0.1:9"
-	reloaded{next}.apply(l)
+	reloaded{again(next), nil}.apply(l)
 	l.hear(listed{from: old, listing: listing{Revision: 90, Complete: true}})
 	want(t, "upstreams after a late answer", len(l.peers), 1)
 	want(t, "revision after it", l.revision, uint64(0))
@@ -966,7 +958,7 @@
 		}
 	}
 	select {
-	case b.reloads <- c:
+	case b.reloads <- again(c):
 		<-next.calls // it has moved, and waits for the list
 	case <-time.After(10 * time.Second):
 		t.Error("the reload is not taken")
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,14 +1,14 @@
 package wire
 
 import (
-	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"clayladder"
 )
 
-// params mirrors the settings that the module uses; other keys are ignored.
+// params mirrors the settings that the module uses, but for the lists; other keys are ignored.
 type params struct {
 	Zone        string  `json:"az"`
 	Balancers   int     `json:"balancers"`
@@ -37,23 +37,21 @@
 		TipAfter    int64   `json:"tip_after_us"`
 		TipMultiple float64 `json:"tip_multiple"`
 	} `json:"obligations"`
-	Classes []struct {
-		GiveUp    int64   `json:"give_up_us"`
-		Group     string  `json:"group"`
-		LateWorth float64 `json:"late_worth"`
-		Memory    int64   `json:"memory_span_us"`
-		Name      string  `json:"name"`
-		Repeat    string  `json:"repeat"`
-		Target    int64   `json:"target_us"`
-		Worth     float64 `json:"worth"`
-	} `json:"profiles"`
 	Reporting struct {
 		Via string `json:"via"`
 	} `json:"reporting"`
-	Tenants []struct {
-		Name  string  `json:"name"`
-		Quota float64 `json:"quota_rps"`
-	} `json:"tenants"`
+}
+
+// profile mirrors an entry of the list of classes.
+type profile struct {
+	GiveUp    int64   `json:"give_up_us"`
+	Group     string  `json:"group"`
+	LateWorth float64 `json:"late_worth"`
+	Memory    int64   `json:"memory_span_us"`
+	Name      string  `json:"name"`
+	Repeat    string  `json:"repeat"`
+	Target    int64   `json:"target_us"`
+	Worth     float64 `json:"worth"`
 }
 
 var (
@@ -85,21 +83,43 @@
 	ConnectTimeout time.Duration // a connection not up by then counts as failed
 }
 
-// DecodeSettings reads the settings object of a start message or of a real balancer's configuration.
+// DecodeSettings reads the settings object of a start message.
 func DecodeSettings(text []byte) (clayladder.Settings, Links, error) {
+	d := NewDecoder(text, func() {})
+	s, links, err := d.Settings()
+	if err == nil {
+		if err = d.End(); err != nil {
+			err = fmt.Errorf("settings: %w", err)
+		}
+	}
+	return s, links, err
+}
+
+// Settings reads the settings object of a start message or of a real balancer's configuration. An error names the setting.
+func (d *Decoder) Settings() (clayladder.Settings, Links, error) {
 	var p params
 	var s clayladder.Settings
 	var links Links
-	if err := json.Unmarshal(text, &p); err != nil {
+	if err := d.Object(func(key string) error {
+		switch {
+		case strings.EqualFold(key, "profiles"):
+			s.Classes = nil
+			return d.List(func(i int) error { return d.class(i, &s) })
+		case strings.EqualFold(key, "tenants"):
+			s.Tenants = nil
+			return d.List(func(i int) error { return d.tenant(i, &s) })
+		}
+		return d.Field(key, &p)
+	}); err != nil {
 		return s, links, fmt.Errorf("settings: %w", err)
 	}
-	s = clayladder.Settings{Zone: p.Zone, Balancers: p.Balancers, Rank: p.Rank, OverShareWorth: p.OverShare,
-		WorthByWork: p.WorthBy == "work", Granularity: us(p.Granularity),
-		Limits: clayladder.Limits{Cancel: p.Limits.Cancel, Probes: p.Limits.Probes, SecondCopies: p.Limits.SecondCopies,
-			RetryAfter: p.Limits.RetryAfter, MaxRetry: us(p.Limits.MaxRetry), MaxAttempts: p.Limits.MaxAttempts},
-		Rules: clayladder.Rules{AskWithin: us(p.Rules.AskWithin), ColdFrom: p.Rules.ColdFrom, RampTime: us(p.Rules.RampTime),
-			TipMultiple: p.Rules.TipMultiple, TipAfter: us(p.Rules.TipAfter), DrainGrace: us(p.Rules.DrainGrace),
-			AnswerWithin: us(p.Rules.Slack)}}
+	s.Zone, s.Balancers, s.Rank, s.OverShareWorth = p.Zone, p.Balancers, p.Rank, p.OverShare
+	s.WorthByWork, s.Granularity = p.WorthBy == "work", us(p.Granularity)
+	s.Limits = clayladder.Limits{Cancel: p.Limits.Cancel, Probes: p.Limits.Probes, SecondCopies: p.Limits.SecondCopies,
+		RetryAfter: p.Limits.RetryAfter, MaxRetry: us(p.Limits.MaxRetry), MaxAttempts: p.Limits.MaxAttempts}
+	s.Rules = clayladder.Rules{AskWithin: us(p.Rules.AskWithin), ColdFrom: p.Rules.ColdFrom, RampTime: us(p.Rules.RampTime),
+		TipMultiple: p.Rules.TipMultiple, TipAfter: us(p.Rules.TipAfter), DrainGrace: us(p.Rules.DrainGrace),
+		AnswerWithin: us(p.Rules.Slack)}
 	links = Links{KeepAlive: us(p.Limits.KeepAlive), ConnectTimeout: us(p.Limits.ConnectTimeout)}
 	var ok bool
 	if s.OnRequest, ok = asks[p.Mode]; !ok {
@@ -111,19 +131,37 @@
 	if s.Reports, ok = vias[p.Reporting.Via]; !ok {
 		return s, links, fmt.Errorf("settings: reporting.via %q is unknown", p.Reporting.Via)
 	}
-	for _, c := range p.Classes {
-		class := clayladder.Class{Name: c.Name, Aim: us(c.Target), Deadline: us(c.GiveUp), Memory: us(c.Memory),
-			Worth: c.Worth, LateWorth: c.LateWorth}
-		if class.Repeat, ok = repeats[c.Repeat]; !ok {
-			return s, links, fmt.Errorf("settings: profiles: repeat %q is unknown", c.Repeat)
-		}
-		if class.Group, ok = groups[c.Group]; !ok && class.Repeat == clayladder.Keyed {
-			return s, links, fmt.Errorf("settings: profiles: group %q is unknown", c.Group)
-		}
-		s.Classes = append(s.Classes, class)
+	return s, links, nil
+}
+
+// class reads an entry of the list of classes.
+func (d *Decoder) class(i int, s *clayladder.Settings) error {
+	var p profile
+	if err := d.Decode(&p); err != nil {
+		return fmt.Errorf("profiles: entry %d, %q: %w", i, p.Name, whole(err))
+	}
+	class := clayladder.Class{Name: p.Name, Aim: us(p.Target), Deadline: us(p.GiveUp), Memory: us(p.Memory),
+		Worth: p.Worth, LateWorth: p.LateWorth}
+	var ok bool
+	if class.Repeat, ok = repeats[p.Repeat]; !ok {
+		return fmt.Errorf("profiles: entry %d, %q: repeat %q is unknown", i, p.Name, p.Repeat)
 	}
-	for _, t := range p.Tenants {
-		s.Tenants = append(s.Tenants, clayladder.Tenant{Name: t.Name, Quota: t.Quota})
+	if class.Group, ok = groups[p.Group]; !ok && class.Repeat == clayladder.Keyed {
+		return fmt.Errorf("profiles: entry %d, %q: group %q is unknown", i, p.Name, p.Group)
 	}
-	return s, links, nil
+	s.Classes = append(s.Classes, class)
+	return nil
+}
+
+// tenant reads an entry of the list of tenants.
+func (d *Decoder) tenant(i int, s *clayladder.Settings) error {
+	var t struct {
+		Name  string  `json:"name"`
+		Quota float64 `json:"quota_rps"`
+	}
+	if err := d.Decode(&t); err != nil {
+		return fmt.Errorf("tenants: entry %d, %q: %w", i, t.Name, whole(err))
+	}
+	s.Tenants = append(s.Tenants, clayladder.Tenant{Name: t.Name, Quota: t.Quota})
+	return nil
 }
