--- a/internal/scale/files.go
+++ b/internal/scale/files.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -73,8 +74,9 @@
 	return &settings{shared: b.Bytes(), known: list}, nil
 }
 
-// write puts a balancer's file in place whole: who reads it finds the old one or the new one.
-func (s *settings) write(path string, p Spec) error {
+// write puts a balancer's file in place whole: who reads it finds the old one or the new one. It returns the file's hash, as
+// balancers tell it.
+func (s *settings) write(path string, p Spec) (hash string, err error) {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, `{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x","limits":{"cores":1,"memory_mb":%d,"sockets":1024},"known":`,
 		p.Name, p.Listen, p.Discovery, uint64(p.Rank+1)*0x9e3779b97f4a7c15, p.MemoryMB)
@@ -83,10 +85,11 @@
 	b.Write(s.shared)
 	b.WriteByte('}')
 	if err := os.WriteFile(path+".new", b.Bytes(), 0o600); err != nil {
-		return fmt.Errorf("writing a configuration: %w", err)
+		return "", fmt.Errorf("writing a configuration: %w", err)
 	}
 	if err := os.Rename(path+".new", path); err != nil {
-		return fmt.Errorf("writing a configuration: %w", err)
+		return "", fmt.Errorf("writing a configuration: %w", err)
 	}
-	return nil
+	sum := sha256.Sum256(b.Bytes())
+	return fmt.Sprintf("%x", sum[:6]), nil
 }
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -48,13 +48,15 @@
 	reals     []*realOne
 	upstreams *upstreams
 	traffic   *traffic
-	version   int // of the settings
+	version   int               // of the settings
+	hashes    map[string]string // of the files of this version
 	end       context.CancelFunc
 }
 
 // newFleet starts a fleet and waits until it has settled. Where it fails, what it has started is ended.
 func newFleet(size Size, kids *children, program string) (f *fleet, err error) {
-	f = &fleet{size: size, kids: kids, program: program, specs: map[string]Spec{}}
+	f = &fleet{size: size, kids: kids, program: program, specs: map[string]Spec{},
+		hashes: map[string]string{}}
 	ctx, end := context.WithCancel(context.Background())
 	f.end = end
 	defer func() {
@@ -145,7 +147,7 @@
 		return err
 	}
 	for path, spec := range f.specs {
-		if err := s.write(path, spec); err != nil {
+		if f.hashes[path], err = s.write(path, spec); err != nil {
 			return err
 		}
 	}
@@ -439,7 +441,7 @@
 	var hollow Delays
 	var err error
 	for len(f.hollow) > 0 {
-		if hollow, err = f.delays("Hollow.SettingsSince", began.UnixNano()); err != nil || hollow.Missing == 0 || time.Now().After(until) {
+		if hollow, err = f.delays("Hollow.SettingsSince", SettingsTold{began.UnixNano(), f.hashes}); err != nil || hollow.Missing == 0 || time.Now().After(until) {
 			break
 		}
 		time.Sleep(100 * time.Millisecond)
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
+	"os"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"clayladder/internal/proxy"
@@ -27,14 +29,21 @@
 	path    string
 	end     context.CancelFunc
 	control *proxy.Control // nil: it does not run
-	hangups chan struct{}
+	hangups chan os.Signal
 
-	mu     sync.Mutex
-	lists  []Made // revisions that were in force, and when
-	setups int    // settings that came into force after the start's
-	setAt  int64  // when the last of these did, Unix ns
+	mu       sync.Mutex
+	lists    []Made         // revisions that were in force, and when
+	settings []settingsMade // those that came into force after the start's, the newest last
 }
 
+// settingsMade are settings, by their file's hash, and the Unix time in ns at which they came into force.
+type settingsMade struct {
+	hash string
+	at   int64
+}
+
+const settingsKept = 64
+
 // Start starts a balancer for each path, or starts it again.
 func (h *Hollow) Start(paths []string, _ *None) error {
 	return h.each(paths, func(o *hollowOne) error {
@@ -58,7 +67,7 @@
 func (h *Hollow) Hangup(paths []string, _ *None) error {
 	return h.each(paths, func(o *hollowOne) error {
 		select {
-		case o.hangups <- struct{}{}:
+		case o.hangups <- syscall.SIGHUP:
 		default:
 		}
 		return nil
@@ -75,7 +84,7 @@
 	var failed []error
 	for _, path := range paths {
 		if h.ones[path] == nil {
-			h.ones[path] = &hollowOne{path: path, hangups: make(chan struct{}, 1)}
+			h.ones[path] = &hollowOne{path: path, hangups: make(chan os.Signal, 1)}
 		}
 		failed = append(failed, do(h.ones[path]))
 	}
@@ -102,36 +111,19 @@
 		defer o.mu.Unlock()
 		o.lists = append(o.lists, Made{revision, time.Now().UnixNano()})
 	}
-	ctx, end := context.WithCancel(context.Background())
-	reloads := make(chan proxy.Config, 1)
-	if o.control, err = proxy.StartControl(ctx, c, reloads); err != nil {
-		end()
-		return fmt.Errorf("hollow: %s: %w", o.path, err)
-	}
-	o.end = end
-	go o.follow(ctx, getenv, reloads)
-	return nil
-}
-
-// follow reads the file again on each hangup, as the process does.
-func (o *hollowOne) follow(ctx context.Context, getenv func(string) string, reloads chan<- proxy.Config) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-o.hangups:
-		}
-		c, err := proxy.ReloadConfig(getenv)
-		if err != nil {
-			slog.Error("reading the configuration again: the old one stays", "err", err)
-			continue
-		}
-		select {
-		case reloads <- c:
-		case <-ctx.Done():
-			return
+	c.SettingsInForce = func(hash string, _ time.Duration) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if len(o.settings) >= settingsKept {
+			o.settings = append([]settingsMade(nil), o.settings[1:]...)
 		}
+		o.settings = append(o.settings, settingsMade{hash, time.Now().UnixNano()})
 	}
+	ctx, end := context.WithCancel(context.Background())
+	reloads := make(chan proxy.Reload)
+	o.control, o.end = proxy.StartControl(ctx, c, reloads), end
+	go proxy.NewReloader(getenv, c).Follow(ctx, o.hangups, reloads)
+	return nil
 }
 
 func (o *hollowOne) stop() {
@@ -173,9 +165,14 @@
 	return nil
 }
 
-// SettingsSince replies with the time from at, Unix ns, until settings came into force, for each balancer where any did so
-// later than that.
-func (h *Hollow) SettingsSince(at int64, d *Delays) error {
+// SettingsTold are settings that balancers were told of at a moment.
+type SettingsTold struct {
+	At     int64             // Unix ns
+	Hashes map[string]string // of the files, by path; of others than this process's too
+}
+
+// SettingsSince replies with the time until the settings were in force on each running balancer.
+func (h *Hollow) SettingsSince(told SettingsTold, d *Delays) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, o := range h.ones {
@@ -183,10 +180,11 @@
 			continue
 		}
 		o.mu.Lock()
-		if o.setAt > at {
-			d.Micros = append(d.Micros, (o.setAt-at)/1000)
-		} else {
+		at := slices.IndexFunc(o.settings, func(s settingsMade) bool { return s.hash == told.Hashes[o.path] })
+		if at < 0 {
 			d.Missing++
+		} else {
+			d.Micros = append(d.Micros, max(0, o.settings[at].at-told.At)/1000)
 		}
 		o.mu.Unlock()
 	}
--- a/internal/scale/inprocess_test.go
+++ b/internal/scale/inprocess_test.go
@@ -62,12 +62,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(c.Settings.Classes) != 5 || len(c.Settings.Tenants) != 7 || len(c.Known.Members) != 11 {
-		t.Errorf("%d classes, %d tenants, %d upstreams", len(c.Settings.Classes), len(c.Settings.Tenants), len(c.Known.Members))
-	}
-	if _, err := clayladder.New(c.Settings, 1, 0, &host{}); err != nil {
-		t.Error(err)
+	if classes, tenants := c.Plan.Size(); classes != 5 || tenants != 7 || len(c.Known.Members) != 11 {
+		t.Errorf("%d classes, %d tenants, %d upstreams", classes, tenants, len(c.Known.Members))
 	}
+	clayladder.NewWith(c.Plan, 1, 0, &host{}) // the plan has been checked: there is no error
 }
 
 // allocated is how many bytes op allocates, the least of some runs.
--- a/internal/scale/small_test.go
+++ b/internal/scale/small_test.go
@@ -18,6 +18,7 @@
 	discovery Discovery
 	addresses []string
 	hollow    Hollow
+	hashes    map[string]string
 	paths     []string
 	shape     Shape
 	version   int
@@ -55,9 +56,11 @@
 	s.version++
 	x, err := newSettings(s.shape, s.version, known)
 	s.must(err)
+	s.hashes = map[string]string{}
 	for i, path := range s.paths {
-		s.must(x.write(path, Spec{Name: fmt.Sprintf("b%d", i), Listen: "127.0.0.1:1", Discovery: s.addresses[machine],
-			Zone: zoneName(i % 3), Rank: i, MemoryMB: 64}))
+		s.hashes[path], err = x.write(path, Spec{Name: fmt.Sprintf("b%d", i), Listen: "127.0.0.1:1", Discovery: s.addresses[machine],
+			Zone: zoneName(i % 3), Rank: i, MemoryMB: 64})
+		s.must(err)
 	}
 }
 
@@ -188,3 +191,23 @@
 	want(t, "whole lists", c.Whole, 0)
 	want(t, "answers for a change behind it", s.change(s.release).News, 12)
 }
+
+// Two changes of the settings are in force on every balancer, and cost discovery nothing.
+func TestWorkOfChangedSettings(t *testing.T) {
+	s := newSmall(t, 12, 60)
+	before := s.discovery.counts.read()
+	for range 2 {
+		s.configure(0)
+		s.must(s.hollow.Hangup(s.paths, nil))
+		s.await("settings in force everywhere", func() bool {
+			var d Delays
+			s.must(s.hollow.SettingsSince(SettingsTold{time.Now().UnixNano(), s.hashes}, &d))
+			return d.Missing == 0 && len(d.Micros) == len(s.paths)
+		})
+	}
+	c := s.discovery.counts.read().sub(before)
+	want(t, "answers", c.News, 0)
+	want(t, "whole lists", c.Whole, 0)
+	want(t, "entries", c.Entries, 0)
+	want(t, "answers for a change behind them", s.change(s.release).News, 12)
+}
