--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -37,8 +37,8 @@
 // fleet is a running fleet.
 type fleet struct {
 	size      Size
-	dir       string // of its files
-	program   string // the real balancers'
+	dir       string   // of its files
+	programs  []string // the real balancers', which take turns
 	kids      *children
 	discovery *child
 	addresses []string // of discovery's machines
@@ -54,8 +54,8 @@
 }
 
 // newFleet starts a fleet and waits until it has settled. Where it fails, what it has started is ended.
-func newFleet(size Size, kids *children, program string) (f *fleet, err error) {
-	f = &fleet{size: size, kids: kids, program: program, specs: map[string]Spec{},
+func newFleet(size Size, kids *children, programs ...string) (f *fleet, err error) {
+	f = &fleet{size: size, kids: kids, programs: programs, specs: map[string]Spec{},
 		hashes: map[string]string{}}
 	ctx, end := context.WithCancel(context.Background())
 	f.end = end
@@ -123,7 +123,7 @@
 			if s.Listen, err = freeAddress(); err != nil {
 				return err
 			}
-			f.reals = append(f.reals, &realOne{spec: s, path: path})
+			f.reals = append(f.reals, &realOne{spec: s, path: path, program: f.programs[len(f.reals)%len(f.programs)]})
 		} else {
 			if i%hollowShare == 0 {
 				f.paths = append(f.paths, nil)
@@ -403,13 +403,17 @@
 
 // Reload is a change of the settings on all balancers.
 type Reload struct {
-	Hollow InForce        `json:"hollow"` // until the settings were in force, by the balancers' word
-	Real   InForce        `json:"real"`   // until a request of the class that is new was served
-	Wrong  map[string]int `json:"wrong"`  // last statuses of the requests of the new class where it never was
+	Hollow InForce   `json:"hollow"` // until the settings were in force, by the balancers' word
+	Real   []InForce `json:"real"`   // until a request of the class that is new was served, for each program
+	Wrong  []Counted `json:"wrong"`  // the last statuses of these requests where it never was, for each program
 
-	delays, served Delays
+	hollow Delays
+	served []Delays
 }
 
+// Counted counts by name.
+type Counted map[string]int
+
 // reload writes a new version of the settings, has all read it, and waits until it is in force or within is over. The time
 // counts from when the first is told; that the files are there by then is the deliverer's.
 func (f *fleet) reload(within time.Duration) (Reload, error) {
@@ -421,33 +425,37 @@
 		return Reload{}, err
 	}
 	until := began.Add(within)
-	x := Reload{Wrong: map[string]int{}}
+	x := Reload{served: make([]Delays, len(f.programs))}
+	for range f.programs {
+		x.Wrong = append(x.Wrong, Counted{})
+	}
 	var mu sync.Mutex
-	var real Delays
 	var wait sync.WaitGroup
 	for i := range f.reals {
+		n := i % len(f.programs)
 		wait.Go(func() {
 			at, status := f.traffic.probe(i, versionClass(f.version), until)
 			mu.Lock()
 			defer mu.Unlock()
 			if at.IsZero() {
-				real.Missing++
-				x.Wrong[status]++
+				x.served[n].Missing++
+				x.Wrong[n][status]++
 			} else {
-				real.Micros = append(real.Micros, at.Sub(began).Microseconds())
+				x.served[n].Micros = append(x.served[n].Micros, at.Sub(began).Microseconds())
 			}
 		})
 	}
-	var hollow Delays
 	var err error
 	for len(f.hollow) > 0 {
-		if hollow, err = f.delays("Hollow.SettingsSince", SettingsTold{began.UnixNano(), f.hashes}); err != nil || hollow.Missing == 0 || time.Now().After(until) {
+		if x.hollow, err = f.delays("Hollow.SettingsSince", SettingsTold{began.UnixNano(), f.hashes}); err != nil || x.hollow.Missing == 0 || time.Now().After(until) {
 			break
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	wait.Wait()
-	x.delays, x.served = hollow, real
-	x.Hollow, x.Real = summary(1, hollow), summary(1, real)
+	x.Hollow = summary(1, x.hollow)
+	for _, d := range x.served {
+		x.Real = append(x.Real, summary(1, d))
+	}
 	return x, err
 }
--- a/internal/scale/real.go
+++ b/internal/scale/real.go
@@ -26,6 +26,7 @@
 type realOne struct {
 	spec     Spec
 	path     string
+	program  string
 	child    *child
 	admitted atomic.Bool  // the front sends it requests
 	readyAt  atomic.Int64 // when it first was healthy since its start, Unix ns
@@ -33,7 +34,7 @@
 
 // startReal starts a balancer's process.
 func (f *fleet) startReal(r *realOne) error {
-	cmd := exec.Command(f.program)
+	cmd := exec.Command(r.program)
 	tmp := filepath.Join(f.dir, "tmp-"+r.spec.Name)
 	if err := os.MkdirAll(tmp, 0o700); err != nil {
 		return fmt.Errorf("starting %s: %w", r.spec.Name, err)
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -51,12 +51,12 @@
 		if p.InForce.Missing > 0 {
 			fmt.Fprintf(t, "at %.5g: %d changes not in force in time\t\n", p.X, p.InForce.Missing)
 		}
-		missing, real := 0, 0
+		missing := 0
 		for _, l := range p.Reloads {
-			missing, real = missing+l.Hollow.Missing, real+l.Real.Missing
+			missing += l.Hollow.Missing
 		}
-		if missing+real > 0 {
-			fmt.Fprintf(t, "at %.5g: settings not in force on %d\t\n", p.X, missing+real)
+		if missing > 0 {
+			fmt.Fprintf(t, "at %.5g: settings not in force on %d\t\n", p.X, missing)
 		}
 	}
 }
@@ -88,8 +88,20 @@
 	}
 	row("list in force, hollow: p50 / p99 / last ms", force(func(p Phase) InForce { return p.Lists }))
 	row("settings in force, hollow", force(func(p Phase) InForce { return p.Config }))
-	row("settings served, real", force(func(p Phase) InForce { return p.Served }))
-	row("new class not served", func(p Phase) string { return counted(p.Wrong) })
+	for i, program := range x.Programs {
+		row("settings served, real, "+program, force(func(p Phase) (f InForce) {
+			if i < len(p.Served) {
+				f = p.Served[i]
+			}
+			return f
+		}))
+		row("new class not served, "+program, func(p Phase) string {
+			if i >= len(p.Wrong) {
+				return "-"
+			}
+			return counted(p.Wrong[i])
+		})
+	}
 	row("hollow: us of a core a second", func(p Phase) string { return fmt.Sprintf("%.0f", p.Spent.HollowCPU) })
 	row("real: us of a core a second", func(p Phase) string { return fmt.Sprintf("%.0f", p.Spent.RealCPU) })
 	row("real: MB, the largest", func(p Phase) string { return fmt.Sprintf("%.0f", p.Spent.RealRSS) })
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -24,6 +24,7 @@
 	For     time.Duration // a phase of a slope, or a scene's play
 	Cut     time.Duration // how long discovery is cut off in the last scene
 	Program string        // the real balancers'; empty: built
+	Before  string        // a program that every second real balancer runs in its place, from an older commit; empty: none
 	Log     io.Writer     // progress
 }
 
@@ -47,7 +48,8 @@
 	options    Options
 	base       Size
 	kids       *children
-	program    string
+	programs   []string
+	names      []string // of these
 	processors int
 	log        io.Writer
 	began      time.Time
@@ -99,7 +101,7 @@
 	}
 	defer os.RemoveAll(dir)
 	r := &Run{Command: strings.Join(os.Args[1:], " "), Commit: commit(), Go: runtime.Version(), Cores: runtime.NumCPU(),
-		Began: time.Now().UTC().Format(time.RFC3339), options: o, base: o.Size.over(baseSize), kids: &children{dir: dir}, program: o.Program,
+		Began: time.Now().UTC().Format(time.RFC3339), options: o, base: o.Size.over(baseSize), kids: &children{dir: dir},
 		processors: runtime.GOMAXPROCS(0), log: o.Log, began: time.Now()}
 	r.Base = r.base
 	defer r.kids.endAll()
@@ -134,13 +136,18 @@
 }
 
 func (r *Run) all() error {
-	if r.program == "" && len(r.options.Scenes) > 0 {
+	program := r.options.Program
+	if program == "" && len(r.options.Scenes) > 0 {
 		r.progress("building the balancer")
-		r.program = filepath.Join(r.kids.dir, "olivearch")
-		if out, err := exec.Command("go", "build", "-o", r.program, "clayladder/cmd/olivearch").CombinedOutput(); err != nil {
+		program = filepath.Join(r.kids.dir, "olivearch")
+		if out, err := exec.Command("go", "build", "-o", program, "clayladder/cmd/olivearch").CombinedOutput(); err != nil {
 			return fmt.Errorf("building the balancer: %w: %s", err, out)
 		}
 	}
+	r.programs, r.names = []string{program}, []string{"this program"}
+	if r.options.Before != "" {
+		r.programs, r.names = append(r.programs, r.options.Before), append(r.names, "the program before")
+	}
 	var failed []error
 	for _, v := range variations {
 		if !slices.Contains(r.options.Slopes, v.name) {
--- a/internal/scale/scenes.go
+++ b/internal/scale/scenes.go
@@ -20,29 +20,31 @@
 	lostMachine   = 0
 )
 
+// sceneSize is a scene's fleet where nothing else is said: before all upstreams, with as many balancers as two cores bear.
+var sceneSize = Size{Shape: Shape{Balancers: Balancers, Upstreams: Upstreams, Zones: 7, Classes: 20, Tenants: 1000, AskWithin: 10 * time.Second},
+	Hollow: 24, Real: 8, Machines: 4, Rate: 240}
+
 // Scene is what a scene has shown.
 type Scene struct {
-	Name    string             `json:"name"`
-	Size    Size               `json:"size"`
-	Phases  []Phase            `json:"phases"`
-	Figures map[string]float64 `json:"figures,omitempty"` // what this scene alone has
+	Name     string             `json:"name"`
+	Size     Size               `json:"size"`
+	Programs []string           `json:"programs"` // of the real balancers, which take turns
+	Phases   []Phase            `json:"phases"`
+	Figures  map[string]float64 `json:"figures,omitempty"` // what this scene alone has
 }
 
 // Phase is a part of a scene.
 type Phase struct {
-	Name    string  `json:"name"`
-	Lists   InForce `json:"lists"`               // changes of the list on the hollow balancers
-	Config  InForce `json:"settings"`            // changes of the settings on the hollow ones
-	Served  InForce `json:"settings_served"`     // and on the real ones, until the new class was served
-	Wrong   Counted `json:"settings_not_served"` // the last statuses where it never was
-	Spent   Spent   `json:"spent"`
-	Busiest Spent   `json:"busiest_second"` // of discovery: its second with the most calls
-	Clients Seen    `json:"clients"`
+	Name    string    `json:"name"`
+	Lists   InForce   `json:"lists"`               // changes of the list on the hollow balancers
+	Config  InForce   `json:"settings"`            // changes of the settings on the hollow ones
+	Served  []InForce `json:"settings_served"`     // on the real ones, until the new class was served, for each program
+	Wrong   []Counted `json:"settings_not_served"` // the last statuses where it never was
+	Spent   Spent     `json:"spent"`
+	Busiest Spent     `json:"busiest_second"` // of discovery: its second with the most calls
+	Clients Seen      `json:"clients"`
 }
 
-// Counted counts by name.
-type Counted map[string]int
-
 // scene is a scene to play.
 type scene struct {
 	name string
@@ -60,10 +62,10 @@
 
 // scene plays a scene on a fleet of its own.
 func (r *Run) scene(s scene) (Scene, error) {
-	x := Scene{Name: s.name, Size: r.base, Figures: map[string]float64{}}
+	x := Scene{Name: s.name, Size: r.options.Size.over(sceneSize), Programs: r.names, Figures: map[string]float64{}}
 	r.progress("scene %s: %d hollow balancers and %d real ones before %d upstreams, %d classes, %d tenants", s.name, x.Size.Hollow,
 		x.Size.Real, x.Size.Upstreams, x.Size.Classes, x.Size.Tenants)
-	f, err := newFleet(x.Size, r.kids, r.program)
+	f, err := newFleet(x.Size, r.kids, r.programs...)
 	if err != nil {
 		return x, err
 	}
@@ -138,29 +140,45 @@
 	return most
 }
 
-// playSettings changes the settings each 3 s.
+// playSettings changes the settings each 3 s. One that is not in force when the next one comes is missing; the last one has all the
+// time that the users allow.
 func playSettings(r *Run, f *fleet, x *Scene) error {
 	_, err := r.phase(f, x, "a change of the settings each 3 s", func(p *Phase) ([]Made, error) {
-		var hollow, real Delays
+		var hollow Delays
+		real := make([]Delays, len(f.programs))
+		for range f.programs {
+			p.Wrong = append(p.Wrong, Counted{})
+		}
 		changes := 0
-		p.Wrong = Counted{}
-		for began := time.Now(); time.Since(began) < r.options.For; {
+		for began, last := time.Now(), false; !last; changes++ {
 			next := time.Now().Add(configEvery)
-			c, err := f.reload(configEvery - configEvery/10)
+			last = time.Since(began)+configEvery >= r.options.For
+			within := configEvery - configEvery/10
+			if last { // no other follows it
+				within = inForceMost
+			}
+			c, err := f.reload(within)
 			if err != nil {
 				return nil, err
 			}
-			changes++
-			hollow.Micros, hollow.Missing = append(hollow.Micros, c.delays.Micros...), hollow.Missing+c.delays.Missing
-			real.Micros, real.Missing = append(real.Micros, c.served.Micros...), real.Missing+c.served.Missing
-			for status, n := range c.Wrong {
-				p.Wrong[status] += n
+			hollow.Micros, hollow.Missing = append(hollow.Micros, c.hollow.Micros...), hollow.Missing+c.hollow.Missing
+			for i, d := range c.served {
+				real[i].Micros, real[i].Missing = append(real[i].Micros, d.Micros...), real[i].Missing+d.Missing
+				for status, n := range c.Wrong[i] {
+					p.Wrong[i][status] += n
+				}
+			}
+			if !last {
+				time.Sleep(time.Until(next))
 			}
-			time.Sleep(time.Until(next))
 		}
-		p.Config, p.Served = summary(changes, hollow), summary(changes, real)
-		r.progress("  settings in force on hollow ones p99 %.0f ms, last %.0f, missing %d; served by real ones p99 %.0f ms, last %.0f, missing %d %v",
-			p.Config.P99, p.Config.Last, p.Config.Missing, p.Served.P99, p.Served.Last, p.Served.Missing, p.Wrong)
+		p.Config = summary(changes, hollow)
+		r.progress("  settings in force on hollow ones p99 %.0f ms, last %.0f, missing %d", p.Config.P99, p.Config.Last, p.Config.Missing)
+		for i, d := range real {
+			s := summary(changes, d)
+			p.Served = append(p.Served, s)
+			r.progress("  served by real ones of program %d p99 %.0f ms, last %.0f, missing %d %v", i+1, s.P99, s.Last, s.Missing, p.Wrong[i])
+		}
 		return nil, nil
 	})
 	return err
--- a/internal/scale/vary.go
+++ b/internal/scale/vary.go
@@ -77,7 +77,7 @@
 func (r *Run) point(v variation, x float64, span time.Duration) (p Point, err error) {
 	p = Point{X: x, Size: v.size(r.base, x), Changes: v.changes(x)}
 	p.Size.Real = 0
-	f, err := newFleet(p.Size, r.kids, r.program)
+	f, err := newFleet(p.Size, r.kids)
 	if err != nil {
 		return p, err
 	}
