--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -16,7 +16,9 @@
 // This file holds hollow balancers: the real loop, module, discovery client and reload path, many in one process, without
 // clients. It notes when each had which revision in force. They share a heap and a collector, so a balancer's part of the
 // processor time is the process's divided by their number; the collector is less dear for each than in a process of its own,
-// where its soft limit and its pace are others. Memory is read as the live heap behind a collection, divided likewise.
+// where its soft limit and its pace are others. Memory is read as the live heap behind a collection, divided likewise. They
+// share the run's processors as well: a change comes to all at one moment, so the last balancer's time until it is in force
+// holds the work of the others before it, which a fleet's machines do side by side.
 
 // Hollow is a process's hollow balancers.
 type Hollow struct {
