--- a/internal/scale/inprocess.go
+++ b/internal/scale/inprocess.go
@@ -121,6 +121,11 @@
 		func(n int) (float64, error) { return newCost(Classes*n/16, Tenants*n/16) }},
 	{"whole configuration: memory of the Balancer", "MB", "sixteenths of the fleet ahead", leastLive, sixteenths,
 		func(n int) (float64, error) { return liveMemory(Upstreams*n/16, Classes*n/16, Tenants*n/16) }},
+	{"reload: NewPlan, away from the loop", "ms", "sixteenths of the fleet ahead", cheapest, sixteenths, planCost},
+	{"reload: Plan.Since, away from the loop", "ms", "sixteenths of the fleet ahead", cheapest, sixteenths, compareCost},
+	{"reload: Reconfigure, on the loop", "us", "sixteenths of the fleet ahead", cheapest + "; two of them, one class and one tenant changed to and fro", sixteenths,
+		reconfigureCost},
+	{"reload: memory of the Balancer with the old plan and the new one", "MB", "sixteenths of the fleet ahead", leastLive, sixteenths, twoPlans},
 	{"quota: taken for over it, requests through all of n balancers", "%", "balancers", quotaNote, []int{3, 30, 135, 950},
 		func(n int) (float64, error) { return quotaShare(n, n, quotaFor) }},
 	{"quota: taken for over it, requests through n of 950 balancers", "%", "balancers used", quotaNote, []int{8, 30, 135, 950},
@@ -499,6 +504,83 @@
 	})
 }
 
+// --- Reload ---
+
+func noStep() {}
+
+// plans are two plans of a part of the fleet ahead, that differ in one class and one tenant.
+func plans(part int) (one, two *clayladder.Plan, err error) {
+	s := settingsOf(Classes*part/16, Tenants*part/16)
+	if one, err = clayladder.NewPlan(s, noStep); err != nil {
+		return nil, nil, err
+	}
+	s.Classes[0].Worth++
+	s.Tenants[0].Quota++
+	two, err = clayladder.NewPlan(s, noStep)
+	return one, two, err
+}
+
+func planCost(part int) (float64, error) {
+	s, err := settingsOf(Classes*part/16, Tenants*part/16), error(nil)
+	each := cost(func() {
+		if _, e := clayladder.NewPlan(s, noStep); e != nil {
+			err = e
+		}
+	})
+	return inMS(each), err
+}
+
+func compareCost(part int) (float64, error) {
+	one, two, err := plans(part)
+	if err != nil {
+		return 0, err
+	}
+	return inMS(cost(func() { two.Since(one, noStep) })), nil
+}
+
+// reconfigureCost is what is left on the loop of a change of the settings, in us.
+func reconfigureCost(part int) (float64, error) {
+	reconfigure, err := reconfigured(part)
+	if err != nil {
+		return 0, err
+	}
+	return inMS(cost(reconfigure)) * 1000, nil
+}
+
+// reconfigured has a Balancer go by two plans in turn.
+func reconfigured(part int) (func(), error) {
+	one, two, err := plans(part)
+	if err != nil {
+		return nil, err
+	}
+	forth, back := two.Since(one, noStep), one.Since(two, noStep)
+	b := clayladder.NewWith(one, 1, 0, &host{})
+	b.Members(0, clayladder.ListFull, upstreamList(Upstreams*part/16))
+	now := time.Duration(0)
+	return func() {
+		now += time.Millisecond
+		b.Reconfigure(now, two, forth)
+		b.Reconfigure(now, one, back)
+	}, nil
+}
+
+// twoPlans is what is held while a new plan stands ready and the old one is in force.
+func twoPlans(part int) (float64, error) {
+	type pair struct {
+		b   *clayladder.Balancer
+		new *clayladder.Plan
+	}
+	return live(func() (any, error) {
+		one, two, err := plans(part)
+		if err != nil {
+			return nil, err
+		}
+		b := clayladder.NewWith(one, 1, 0, &host{})
+		b.Members(0, clayladder.ListFull, upstreamList(Upstreams*part/16))
+		return pair{b, two}, nil
+	})
+}
+
 // --- Quotas ---
 
 const (
--- a/internal/scale/inprocess_test.go
+++ b/internal/scale/inprocess_test.go
@@ -62,11 +62,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(c.Settings.Classes) != 5 || len(c.Settings.Tenants) != 7 || len(c.Known.Members) != 11 {
-		t.Errorf("%d classes, %d tenants, %d upstreams", len(c.Settings.Classes), len(c.Settings.Tenants), len(c.Known.Members))
-	}
-	if _, err := clayladder.New(c.Settings, 1, 0, &host{}); err != nil {
-		t.Error(err)
+	classes, tenants := c.Plan.Size()
+	if classes != 5 || tenants != 7 || len(c.Known.Members) != 11 {
+		t.Errorf("%d classes, %d tenants, %d upstreams", classes, tenants, len(c.Known.Members))
 	}
 }
 
@@ -139,6 +137,21 @@
 	}
 }
 
+// What a change of the settings costs the loop does not grow with what the settings hold.
+func TestReconfigureCostsTheSameHoweverMuchIsSet(t *testing.T) {
+	var at [2]float64
+	for i, part := range []int{1, 8} {
+		reconfigure, err := reconfigured(part)
+		if err != nil {
+			t.Fatal(err)
+		}
+		at[i] = allocated(reconfigure)
+	}
+	if at[1] > at[0]+4096 {
+		t.Errorf("%.0f bytes for 1,062 classes and 4,500 tenants, %.0f for eight times as many", at[0], at[1])
+	}
+}
+
 // A request that is sent asks one thing of the Host, however long the list is.
 func TestRequestAsksOneSendHoweverLongTheList(t *testing.T) {
 	for _, n := range []int{500, 4000} {
