--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -50,13 +50,13 @@
 	traffic   *traffic
 	version   int               // of the settings
 	hashes    map[string]string // of the files of this version
+	told      []SettingsTold    // the versions that balancers were told of since the last forget
 	end       context.CancelFunc
 }
 
 // newFleet starts a fleet and waits until it has settled. Where it fails, what it has started is ended.
 func newFleet(size Size, kids *children, programs ...string) (f *fleet, err error) {
-	f = &fleet{size: size, kids: kids, programs: programs, specs: map[string]Spec{},
-		hashes: map[string]string{}}
+	f = &fleet{size: size, kids: kids, programs: programs, specs: map[string]Spec{}}
 	ctx, end := context.WithCancel(context.Background())
 	f.end = end
 	defer func() {
@@ -105,7 +105,7 @@
 		}
 	}
 	if len(f.reals) > 0 {
-		f.traffic = newTraffic(f.reals, size.Shape)
+		f.traffic = newTraffic(f.reals, len(f.programs), size.Shape)
 		go f.traffic.run(ctx, size.Rate)
 	}
 	return f, f.settle()
@@ -142,6 +142,7 @@
 		return err
 	}
 	f.version++
+	f.hashes = map[string]string{}
 	s, err := newSettings(f.size.Shape, f.version, known)
 	if err != nil {
 		return err
@@ -371,6 +372,7 @@
 
 // forget drops what the hollow ones have noted of changes so far.
 func (f *fleet) forget() error {
+	f.told = nil
 	for _, c := range f.hollow {
 		if err := c.call("Hollow.Forget", None{}, &None{}); err != nil {
 			return err
@@ -407,7 +409,6 @@
 	Real   []InForce `json:"real"`   // until a request of the class that is new was served, for each program
 	Wrong  []Counted `json:"wrong"`  // the last statuses of these requests where it never was, for each program
 
-	hollow Delays
 	served []Delays
 }
 
@@ -424,6 +425,8 @@
 	if err := f.hangup(); err != nil {
 		return Reload{}, err
 	}
+	told := SettingsTold{began.UnixNano(), f.hashes}
+	f.told = append(f.told, told)
 	until := began.Add(within)
 	x := Reload{served: make([]Delays, len(f.programs))}
 	for range f.programs {
@@ -445,15 +448,16 @@
 			}
 		})
 	}
+	var hollow Delays
 	var err error
 	for len(f.hollow) > 0 {
-		if x.hollow, err = f.delays("Hollow.SettingsSince", SettingsTold{began.UnixNano(), f.hashes}); err != nil || x.hollow.Missing == 0 || time.Now().After(until) {
+		if hollow, err = f.delays("Hollow.SettingsSince", []SettingsTold{told}); err != nil || hollow.Missing == 0 || time.Now().After(until) {
 			break
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	wait.Wait()
-	x.Hollow = summary(1, x.hollow)
+	x.Hollow = summary(1, hollow)
 	for _, d := range x.served {
 		x.Real = append(x.Real, summary(1, d))
 	}
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -44,7 +44,7 @@
 	at   int64
 }
 
-const settingsKept = 64
+const settingsKept = 1024
 
 // Start starts a balancer for each path, or starts it again.
 func (h *Hollow) Start(paths []string, _ *None) error {
@@ -173,20 +173,27 @@
 	Hashes map[string]string // of the files, by path; of others than this process's too
 }
 
-// SettingsSince replies with the time until the settings were in force on each running balancer.
-func (h *Hollow) SettingsSince(told SettingsTold, d *Delays) error {
+// SettingsSince replies with the time until each of some versions of the settings, in order, or a newer one of them, was in
+// force on each running balancer: of those that come faster than they can be taken the newest counts.
+func (h *Hollow) SettingsSince(told []SettingsTold, d *Delays) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, o := range h.ones {
 		if o.control == nil {
 			continue
 		}
+		version := map[string]int{}
+		for i, x := range told {
+			version[x.Hashes[o.path]] = i + 1
+		}
 		o.mu.Lock()
-		at := slices.IndexFunc(o.settings, func(s settingsMade) bool { return s.hash == told.Hashes[o.path] })
-		if at < 0 {
-			d.Missing++
-		} else {
-			d.Micros = append(d.Micros, max(0, o.settings[at].at-told.At)/1000)
+		for i, x := range told {
+			at := slices.IndexFunc(o.settings, func(s settingsMade) bool { return version[s.hash] > i })
+			if at < 0 {
+				d.Missing++
+			} else {
+				d.Micros = append(d.Micros, max(0, o.settings[at].at-x.At)/1000)
+			}
 		}
 		o.mu.Unlock()
 	}
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -120,6 +120,15 @@
 	row("clients: added p50 / p99 / max ms", func(p Phase) string {
 		return fmt.Sprintf("%.2f / %.2f / %.0f", p.Clients.AddedP50, p.Clients.AddedP99, p.Clients.AddedMax)
 	})
+	for i, program := range x.Programs {
+		row("clients of "+program+": added p50 / p99 / max ms", func(p Phase) string {
+			if i >= len(p.Each) {
+				return "-"
+			}
+			c := p.Each[i]
+			return fmt.Sprintf("%.2f / %.2f / %.0f, not served %d", c.AddedP50, c.AddedP99, c.AddedMax, c.unserved())
+		})
+	}
 	t.Flush()
 	for _, name := range slices.Sorted(maps.Keys(x.Figures)) {
 		fmt.Fprintf(w, "%s: %.4g\n", name, x.Figures[name])
--- a/internal/scale/scenes.go
+++ b/internal/scale/scenes.go
@@ -43,6 +43,7 @@
 	Spent   Spent     `json:"spent"`
 	Busiest Spent     `json:"busiest_second"` // of discovery: its second with the most calls
 	Clients Seen      `json:"clients"`
+	Each    []Seen    `json:"clients_by_program"` // of the real balancer that had the request last
 }
 
 // scene is a scene to play.
@@ -83,7 +84,7 @@
 		return p, err
 	}
 	if f.traffic != nil {
-		f.traffic.take()
+		f.traffic.take() // what was before
 	}
 	a, err := f.read(false)
 	if err != nil {
@@ -106,7 +107,7 @@
 	}
 	p.Spent = f.spent(a, b)
 	if f.traffic != nil {
-		p.Clients = f.traffic.take()
+		p.Clients, p.Each = f.traffic.take()
 	}
 	x.Phases = append(x.Phases, p)
 	r.progress("  %s: lists in force p99 %.0f ms, last %.0f, missing %d of %d; discovery %.0f calls/s, %.0f KB/s; clients %d, not served %d, added p99 %.2f ms",
@@ -140,11 +141,10 @@
 	return most
 }
 
-// playSettings changes the settings each 3 s. One that is not in force when the next one comes is missing; the last one has all the
-// time that the users allow.
+// playSettings changes the settings each 3 s. On hollow balancers a version is in force once it or a newer one is. On the real ones
+// a request of its own class has to be served before the next one comes; the last one has all the time that the users allow.
 func playSettings(r *Run, f *fleet, x *Scene) error {
 	_, err := r.phase(f, x, "a change of the settings each 3 s", func(p *Phase) ([]Made, error) {
-		var hollow Delays
 		real := make([]Delays, len(f.programs))
 		for range f.programs {
 			p.Wrong = append(p.Wrong, Counted{})
@@ -161,7 +161,6 @@
 			if err != nil {
 				return nil, err
 			}
-			hollow.Micros, hollow.Missing = append(hollow.Micros, c.hollow.Micros...), hollow.Missing+c.hollow.Missing
 			for i, d := range c.served {
 				real[i].Micros, real[i].Missing = append(real[i].Micros, d.Micros...), real[i].Missing+d.Missing
 				for status, n := range c.Wrong[i] {
@@ -172,6 +171,10 @@
 				time.Sleep(time.Until(next))
 			}
 		}
+		hollow, err := f.delays("Hollow.SettingsSince", f.told)
+		if err != nil {
+			return nil, err
+		}
 		p.Config = summary(changes, hollow)
 		r.progress("  settings in force on hollow ones p99 %.0f ms, last %.0f, missing %d", p.Config.P99, p.Config.Last, p.Config.Missing)
 		for i, d := range real {
--- a/internal/scale/small_test.go
+++ b/internal/scale/small_test.go
@@ -201,7 +201,7 @@
 		s.must(s.hollow.Hangup(s.paths, nil))
 		s.await("settings in force everywhere", func() bool {
 			var d Delays
-			s.must(s.hollow.SettingsSince(SettingsTold{time.Now().UnixNano(), s.hashes}, &d))
+			s.must(s.hollow.SettingsSince([]SettingsTold{{time.Now().UnixNano(), s.hashes}}, &d))
 			return d.Missing == 0 && len(d.Micros) == len(s.paths)
 		})
 	}
--- a/internal/scale/traffic.go
+++ b/internal/scale/traffic.go
@@ -98,6 +98,31 @@
 	Moved    int            `json:"moved"` // connects refused or cut before an answer's first byte, asked again elsewhere
 }
 
+// count is what is counted of requests.
+type count struct {
+	seen  Seen
+	added *hdrhistogram.Histogram // µs
+}
+
+func newCount() *count {
+	return &count{seen: Seen{Statuses: map[string]int{}}, added: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+}
+
+func (c *count) note(status string, added time.Duration, moved int) {
+	c.seen.Requests++
+	c.seen.Moved += moved
+	if c.seen.Statuses[status]++; status == "200" {
+		c.added.RecordValue(max(1, added.Microseconds())) // a longer time than the histogram's is no client's
+	}
+}
+
+func (c *count) read() Seen {
+	s := c.seen
+	s.AddedP50, s.AddedP99 = float64(c.added.ValueAtQuantile(50))/1000, float64(c.added.ValueAtQuantile(99))/1000
+	s.AddedMax = float64(c.added.Max()) / 1000
+	return s
+}
+
 // unserved is how many requests had no 200.
 func (s Seen) unserved() int { return s.Requests - s.Statuses["200"] }
 
@@ -110,13 +135,14 @@
 	serial  atomic.Uint64
 	open    atomic.Int64
 
-	mu    sync.Mutex
-	seen  Seen
-	added *hdrhistogram.Histogram // µs
+	mu     sync.Mutex
+	all    *count
+	counts []*count // by the balancers' program
 }
 
-func newTraffic(reals []*realOne, s Shape) *traffic {
-	t := &traffic{reals: reals, classes: max(s.Classes-1, 1), tenants: s.Tenants}
+// newTraffic makes clients of balancers that run a number of programs in turn.
+func newTraffic(reals []*realOne, programs int, s Shape) *traffic {
+	t := &traffic{reals: reals, counts: make([]*count, programs), classes: max(s.Classes-1, 1), tenants: s.Tenants}
 	for range reals {
 		t.clients = append(t.clients, &http.Client{Timeout: clientWait + clientSlack,
 			Transport: &http.Transport{MaxIdleConnsPerHost: 100, IdleConnTimeout: 30 * time.Second}})
@@ -126,19 +152,22 @@
 }
 
 func (t *traffic) reset() {
-	t.seen = Seen{Statuses: map[string]int{}}
-	t.added = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	t.all = newCount()
+	for i := range t.counts {
+		t.counts[i] = newCount()
+	}
 }
 
-// take returns what was seen since the last take.
-func (t *traffic) take() Seen {
+// take returns what was seen since the last take, in all and by the balancers' program.
+func (t *traffic) take() (all Seen, each []Seen) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.seen
-	s.AddedP50, s.AddedP99 = float64(t.added.ValueAtQuantile(50))/1000, float64(t.added.ValueAtQuantile(99))/1000
-	s.AddedMax = float64(t.added.Max()) / 1000
+	all = t.all.read()
+	for _, c := range t.counts {
+		each = append(each, c.read())
+	}
 	t.reset()
-	return s
+	return all, each
 }
 
 // run sends rate requests a second until ctx ends.
@@ -154,7 +183,7 @@
 		}
 		for due := int(time.Since(began).Seconds() * rate); sent < due; sent++ {
 			if t.open.Load() >= inflightMost {
-				t.note("not sent", 0, 0)
+				t.note(0, "not sent", 0, 0)
 				continue
 			}
 			t.open.Add(1)
@@ -205,7 +234,7 @@
 			continue
 		}
 		if err != nil {
-			t.note(describe(err), 0, moved)
+			t.note(i, describe(err), 0, moved)
 			return
 		}
 		body, err := io.ReadAll(resp.Body)
@@ -214,13 +243,13 @@
 		own, parsed := strconv.ParseInt(string(body), 10, 64)
 		switch {
 		case err != nil:
-			t.note("answer cut", 0, moved)
+			t.note(i, "answer cut", 0, moved)
 		case resp.StatusCode != http.StatusOK:
-			t.note(strconv.Itoa(resp.StatusCode), 0, moved)
+			t.note(i, strconv.Itoa(resp.StatusCode), 0, moved)
 		case parsed != nil:
-			t.note("200 of no upstream", 0, moved)
+			t.note(i, "200 of no upstream", 0, moved)
 		default:
-			t.note("200", whole-time.Duration(own), moved)
+			t.note(i, "200", whole-time.Duration(own), moved)
 		}
 		return
 	}
@@ -238,14 +267,12 @@
 	return "failed: " + err.Error()
 }
 
-func (t *traffic) note(status string, added time.Duration, moved int) {
+// note counts a request that balancer i had last.
+func (t *traffic) note(i int, status string, added time.Duration, moved int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.seen.Requests++
-	t.seen.Moved += moved
-	if t.seen.Statuses[status]++; status == "200" {
-		t.added.RecordValue(max(1, added.Microseconds())) // a longer time than the histogram's is no client's
-	}
+	t.all.note(status, added, moved)
+	t.counts[i%len(t.counts)].note(status, added, moved)
 }
 
 // probe asks one balancer for a class every so often until it serves it, at most until a moment. It tells when it did, and
