--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -38,6 +38,7 @@
 	pflag.DurationVar(&o.Size.Costs.Call, "call-cost", 0, "what a call to discovery takes of its machine, served in turn")
 	pflag.DurationVar(&o.Size.Costs.Entry, "entry-cost", 0, "and for each entry of its answer")
 	pflag.DurationVar(&o.For, "for", 10*time.Second, "length of a slope's phase and of a scene's play")
+	pflag.DurationVar(&o.Every, "every", 3*time.Second, "from one change of the settings to the next in the scene settings")
 	pflag.DurationVar(&o.Cut, "cut", 3*time.Minute, "how long the scene cut takes discovery away")
 	pflag.StringVar(&o.Program, "program", "", "the balancer's program (empty: it is built)")
 	pflag.StringVar(&o.Before, "before", "", "an older program of the balancer, for every second real one: before and after in one run")
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -22,6 +22,7 @@
 	Scenes  []string
 	Size    Size          // zero figures: the base's
 	For     time.Duration // a phase of a slope, or a scene's play
+	Every   time.Duration // from one change of the settings to the next, in the first scene
 	Cut     time.Duration // how long discovery is cut off in the last scene
 	Program string        // the real balancers'; empty: built
 	Before  string        // a program that every second real balancer runs in its place, from an older commit; empty: none
@@ -92,8 +93,8 @@
 	if o.Scenes, err = wanted(o.Scenes, played); err != nil {
 		return nil, fmt.Errorf("scene: %w", err)
 	}
-	if o.For <= 0 || o.For > forMost || o.Cut > forMost {
-		return nil, fmt.Errorf("a time is over zero and at most %v", forMost)
+	if o.For <= 0 || o.For > forMost || o.Cut > forMost || o.Every < time.Second && slices.Contains(o.Scenes, "settings") {
+		return nil, fmt.Errorf("a time is over zero and at most %v, and between two changes of the settings is a second", forMost)
 	}
 	dir, err := os.MkdirTemp("", "scale-")
 	if err != nil {
--- a/internal/scale/scenes.go
+++ b/internal/scale/scenes.go
@@ -11,7 +11,6 @@
 // them. Each tells whether changes were in force everywhere in time, what discovery had to stand, and what the clients saw.
 
 const (
-	configEvery   = 3 * time.Second  // 1,200 changes of the settings in an hour
 	zoneAway      = 20 * time.Second // how long a zone is lost
 	afterwards    = 12 * time.Second // what is watched behind the end of an event
 	busiestWindow = time.Second
@@ -141,19 +140,19 @@
 	return most
 }
 
-// playSettings changes the settings each 3 s. On hollow balancers a version is in force once it or a newer one is. On the real ones
+// playSettings changes the settings again and again. On hollow balancers a version is in force once it or a newer one is. On the real ones
 // a request of its own class has to be served before the next one comes; the last one has all the time that the users allow.
 func playSettings(r *Run, f *fleet, x *Scene) error {
-	_, err := r.phase(f, x, "a change of the settings each 3 s", func(p *Phase) ([]Made, error) {
+	_, err := r.phase(f, x, fmt.Sprintf("a change of the settings each %v", r.options.Every), func(p *Phase) ([]Made, error) {
 		real := make([]Delays, len(f.programs))
 		for range f.programs {
 			p.Wrong = append(p.Wrong, Counted{})
 		}
 		changes := 0
 		for began, last := time.Now(), false; !last; changes++ {
-			next := time.Now().Add(configEvery)
-			last = time.Since(began)+configEvery >= r.options.For
-			within := configEvery - configEvery/10
+			next := time.Now().Add(r.options.Every)
+			last = time.Since(began)+r.options.Every >= r.options.For
+			within := r.options.Every - r.options.Every/10
 			if last { // no other follows it
 				within = inForceMost
 			}
