--- a/api.go
+++ b/api.go
@@ -156,7 +156,7 @@
 	ID     RequestID
 	Budget time.Duration // the client gives up this try after it
 	Class  string        // a name from Settings.Classes
-	Terms  *Terms        // of the class, as it was read by; nil: those in force
+	Terms  *Class        // the class as the plan had it by which it was read; nil: as it is in force
 	Tenant string        // a name from Settings.Tenants, or empty; where there are none, any
 	Key    uint64        // subject of the request, if HasKey
 	HasKey bool
--- a/balancer.go
+++ b/balancer.go
@@ -128,7 +128,7 @@
 	// A try of the usual budget may be a first one. Any other was given what is left of the deadline, a last one
 	// more than usual, and so shows its age. Past the aim such once took the turns of those in time.
 	// The more a class is worth, the sooner a small chance to be in time outweighs what a cheap one is sure of.
-	spare := time.Duration((sendSpare - c.LateWorth) * cmp.Or(c.lat, b.lat) * c.stake)
+	spare := time.Duration((sendSpare - c.LateWorth) * cmp.Or(c.lat, b.lat) * b.plan.stake(c.Worth))
 	if !c.usual(q.Budget) && c.Aim-(c.Deadline-q.Budget) < spare {
 		r.worth *= c.LateWorth
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -405,13 +405,14 @@
 			t.Errorf("%s: error %v", field, err)
 		}
 	}
+	refused := func(s Settings) bool { _, err := NewPlan(s, func() {}); return errors.Is(err, ErrSettings) }
 	for _, f := range []float64{math.NaN(), math.Inf(1), -1, 0} {
 		s := settings()
-		if s.Rules.TipMultiple = f; s.validate() == nil {
+		if s.Rules.TipMultiple = f; !refused(s) {
 			t.Errorf("TipMultiple %v is taken", f)
 		}
 		s = settings()
-		if s.Rules.ColdFrom = f; s.validate() == nil {
+		if s.Rules.ColdFrom = f; !refused(s) {
 			t.Errorf("ColdFrom %v is taken", f)
 		}
 	}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
 	"strconv"
@@ -64,7 +65,7 @@
 }
 
 // parseConfig checks a configuration, in slices.
-func parseConfig(getenv func(string) string, text []byte, hash string, work *slicer) (Config, error) {
+func parseConfig(getenv func(string) string, text io.Reader, hash string, work *slicer) (Config, error) {
 	path := getenv("RELAY_CONFIG")
 	c, err := decodeConfig(text, work, func(f *file) {
 		for name, to := range map[string]*string{"RELAY_NAME": &f.Name, "RELAY_LISTEN": &f.Listen,
@@ -90,19 +91,19 @@
 }
 
 // decodeConfig decodes and checks a configuration, with what goes before the file's own words put in by override.
-func decodeConfig(text []byte, work *slicer, override func(*file)) (Config, error) {
+func decodeConfig(text io.Reader, work *slicer, override func(*file)) (Config, error) {
 	var c Config
 	var f file
 	var settings clayladder.Settings
-	told := false
+	var plan *clayladder.PlanBuilder
 	d := wire.NewDecoder(text, work.step)
 	err := d.Object(func(key string) (err error) {
 		switch {
 		case strings.EqualFold(key, "known"):
 			err = decodeKnown(d, &c.Known)
 		case strings.EqualFold(key, "settings"):
-			told = true
-			settings, c.Links, err = d.Settings()
+			plan = clayladder.NewPlanBuilder()
+			settings, c.Links, err = d.Settings(plan.AddClass, plan.AddTenant)
 		default:
 			err = d.Field(key, &f)
 		}
@@ -118,13 +119,13 @@
 	if err := f.check(&c); err != nil {
 		return c, err
 	}
-	if !told {
+	if plan == nil {
 		return c, errors.New("settings are missing")
 	}
 	if c.Links.KeepAlive <= 0 || c.Links.ConnectTimeout <= 0 {
 		return c, errors.New("settings: limits: keepalive_us and connect_timeout_us must be over zero")
 	}
-	if c.Plan, err = clayladder.NewPlan(settings, work.step); err != nil {
+	if c.Plan, err = plan.Plan(settings); err != nil {
 		return c, fmt.Errorf("settings: %w", err)
 	}
 	return c, nil
@@ -140,7 +141,10 @@
 		if !strings.EqualFold(key, "members") {
 			return d.Field(key, &head)
 		}
-		known.Members = nil
+		if known.Members != nil {
+			return errors.New("members is there twice")
+		}
+		known.Members = []member{}
 		return d.List(func(i int) error {
 			var m member
 			if err := d.Decode(&m); err != nil {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -750,7 +750,7 @@
 // check reads what a request says of itself. A field that is there must be right: a guess at what was meant would be
 // served in its place.
 func (f *frontend) check(method, target string, h textproto.MIMEHeader) (*request, error) {
-	class := f.plan.Load().Terms(h.Get("X-Class"))
+	class := f.plan.Load().Class(h.Get("X-Class"))
 	path, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "?")
 	first, _, _ := strings.Cut(path, "/")
 	id, key := h.Get("X-Request-Id"), h.Get("Idempotency-Key")
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -22,7 +22,7 @@
 	// core, and the loop waits for the end of a slice; 3.6 ms is all that may be added to a request.
 	slice = 500 * time.Microsecond
 	// pieceRead is how much of the file is read, or hashed, between two looks at the time: some 0.1 ms.
-	pieceRead = 128 << 10
+	pieceRead = 32 << 10
 	stepsLook = 16 // small steps between two looks at the time
 	hashShown = 6  // bytes of a file's SHA-256 that name it
 )
@@ -56,8 +56,24 @@
 	}
 }
 
-// readConfig reads the configuration file, and hashes it.
-func readConfig(getenv func(string) string, work *slicer) (text []byte, hash string, err error) {
+// filePieces are a file, to be read one after another: a buffer of its whole size would be allocated, and paid for to the collector, at
+// a stretch.
+type filePieces [][]byte
+
+// Read implements io.Reader.
+func (p *filePieces) Read(b []byte) (int, error) {
+	if len(*p) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b, (*p)[0])
+	if (*p)[0] = (*p)[0][n:]; len((*p)[0]) == 0 {
+		*p = (*p)[1:]
+	}
+	return n, nil
+}
+
+// readConfig reads the configuration file at one go, which may be written over later, and hashes it.
+func readConfig(getenv func(string) string, work *slicer) (text io.Reader, hash string, err error) {
 	path := getenv("RELAY_CONFIG")
 	if path == "" {
 		return nil, "", errors.New("RELAY_CONFIG is not set")
@@ -67,31 +83,23 @@
 		return nil, "", fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
 	defer f.Close()
-	info, err := f.Stat()
-	if err != nil {
-		return nil, "", fmt.Errorf("RELAY_CONFIG: %w", err)
-	}
-	text = make([]byte, 0, info.Size()+1) // one more, or the end would not be seen
+	var all filePieces
+	sum := sha256.New()
 	for err == nil {
-		if len(text) == cap(text) {
-			text = append(text, 0)[:len(text)]
+		piece, n := make([]byte, pieceRead), 0
+		if n, err = f.Read(piece); n > 0 {
+			all = append(all, piece[:n])
 		}
-		var n int
-		n, err = f.Read(text[len(text):min(cap(text), len(text)+pieceRead)])
-		text = text[:len(text)+n]
 		work.look()
 	}
 	if err != io.EOF {
 		return nil, "", fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
-	sum := sha256.New()
-	for rest := text; len(rest) > 0; {
-		n := min(len(rest), pieceRead)
-		sum.Write(rest[:n]) // never fails
-		rest = rest[n:]
+	for _, piece := range all {
+		sum.Write(piece) // never fails
 		work.look()
 	}
-	return text, fmt.Sprintf("%x", sum.Sum(nil)[:hashShown]), nil
+	return &all, fmt.Sprintf("%x", sum.Sum(nil)[:hashShown]), nil
 }
 
 // Reload is a configuration that was read again, checked and built: all that is left is to go by it.
--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -1,10 +1,29 @@
 package proxy
 
 import (
+	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"clayladder"
+	"clayladder/internal/wire"
 )
 
 // configWith returns a configuration of settingsText in which old and new, in turn, are replaced.
@@ -28,7 +47,7 @@
 // configOf is the Config of configWith.
 func configOf(t testing.TB, discovery string, members []member, replaced ...string) Config {
 	t.Helper()
-	c, err := decodeConfig([]byte(configWith(t, discovery, members, replaced...)), nil, func(*file) {})
+	c, err := decodeConfig(strings.NewReader(configWith(t, discovery, members, replaced...)), nil, func(*file) {})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -39,3 +58,845 @@
 func again(c Config) Reload {
 	return Reload{Discovery: c.Discovery, Links: c.Links, Plan: c.Plan}
 }
+
+// reloading is a running balancer whose process reads its configuration again on a signal.
+type reloading struct {
+	*balancer
+	path    string
+	hangups chan os.Signal
+	inForce chan string // the hash of each configuration as it goes in force, told on the loop
+	log     *lines
+	hold    atomic.Pointer[func(time.Duration)] // takes the place of the sleep between two slices
+}
+
+// lines is a log that tests look into.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+	came chan struct{} // a line has come since the last look
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case l.came <- struct{}{}:
+	default:
+	}
+	return l.text.Write(b)
+}
+
+// has waits for a line that has all of the words.
+func (l *lines) has(t *testing.T, words ...string) {
+	t.Helper()
+	for limit := time.After(10 * time.Second); ; {
+		l.mu.Lock()
+		text := l.text.String()
+		l.mu.Unlock()
+		for line := range strings.Lines(text) {
+			all := true
+			for _, word := range words {
+				all = all && strings.Contains(line, word)
+			}
+			if all {
+				return
+			}
+		}
+		select {
+		case <-l.came:
+		case <-limit:
+			t.Fatalf("no line with %q in the log:\n%s", words, text)
+		}
+	}
+}
+
+// count tells how many times a word stands in the log.
+func (l *lines) count(word string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), word)
+}
+
+// newReloading starts a balancer that reloads; set changes its configuration at the start.
+func newReloading(t *testing.T, set func(*Config), members ...member) *reloading {
+	t.Helper()
+	r := &reloading{path: filepath.Join(t.TempDir(), "config.json"), hangups: make(chan os.Signal, 1),
+		inForce: make(chan string, 10000), log: &lines{came: make(chan struct{}, 1)}}
+	r.balancer = newBalancerWith(t, func(c *Config) {
+		c.SettingsInForce = func(hash string, took time.Duration) {
+			if took < 0 || took > time.Minute {
+				t.Errorf("in force after %v", took)
+			}
+			r.inForce <- hash
+		}
+		set(c)
+	}, members...)
+	follower := NewReloader(r.getenv, r.config)
+	follower.log = slog.New(slog.NewTextHandler(r.log, nil))
+	follower.sleep = func(d time.Duration) {
+		if hold := r.hold.Load(); hold != nil {
+			(*hold)(d)
+		}
+	}
+	ctx, end := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() { follower.Follow(ctx, r.hangups, r.reloads); close(over) }()
+	t.Cleanup(func() { end(); <-over })
+	return r
+}
+
+func (r *reloading) getenv(name string) string {
+	return map[string]string{"RELAY_CONFIG": r.path, "RELAY_OPERATOR": r.config.Operator}[name]
+}
+
+// write replaces the file by a configuration of settingsText in which old and new, in turn, are replaced.
+func (r *reloading) write(t *testing.T, replaced ...string) (hash string) {
+	t.Helper()
+	return r.put(t, configWith(t, r.config.Discovery, nil, replaced...))
+}
+
+func (r *reloading) put(t *testing.T, text string) (hash string) {
+	t.Helper()
+	if err := os.WriteFile(r.path+".new", []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(r.path+".new", r.path); err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("%x", sha256.Sum256([]byte(text)))[:12]
+}
+
+// reload replaces the file likewise, signals, and waits until it is in force.
+func (r *reloading) reload(t *testing.T, replaced ...string) {
+	t.Helper()
+	r.signal(t, r.write(t, replaced...))
+}
+
+// signal signals and waits until the configuration of a hash is in force.
+func (r *reloading) signal(t *testing.T, hash string) {
+	t.Helper()
+	r.hangups <- syscall.SIGHUP
+	want(t, "in force", r.next(t), hash)
+}
+
+// next waits for the next configuration in force.
+func (r *reloading) next(t *testing.T) string {
+	t.Helper()
+	select {
+	case hash := <-r.inForce:
+		return hash
+	case <-time.After(20 * time.Second):
+		t.Fatalf("no configuration is in force in time:\n%s", r.log.text.String())
+		return ""
+	}
+}
+
+// added puts a class of a name, which must never run twice, in front of those of settingsText.
+func added(name string) []string {
+	return []string{`"profiles":[`, `"profiles":[{"name":"` + name +
+		`","target_us":2000000,"give_up_us":4000000,"repeat":"non_idempotent","worth":1},`}
+}
+
+// gone takes checkin out of settingsText.
+var gone = []string{`"worth":1},
+{"name":"checkin","target_us":2000000,"give_up_us":4000000,"repeat":"non_idempotent","worth":1}]`, `"worth":1}]`}
+
+// A class that comes with a SIGHUP is served, one that goes is refused, limits and links are the new ones, and the log says
+// which configuration is in force, since when, and what it has changed.
+func TestSettingsAreInForceWithoutARestart(t *testing.T) {
+	s := newServer(t, okAll)
+	r := newReloading(t, func(*Config) {}, up("s-00000001", s))
+	status, _ := r.do(t, r.ask("parcel", ""))
+	want(t, "a class that is not set yet", status, 400)
+	r.reload(t, append(added("parcel"), append(gone, `"connect_timeout_us":500000`, `"connect_timeout_us":70000`,
+		`"keepalive_us":60000000`, `"keepalive_us":20000000`, `"max_attempts":3`, `"max_attempts":2,"retry_after":true,"max_retry_after_us":5000`,
+		`"name":"read","target_us":2000000,"give_up_us":4000000`, `"name":"read","target_us":2000000,"give_up_us":2500000`,
+		`"reporting"`, `"tenants":[{"name":"t1","quota_rps":2}],"reporting"`)...)...)
+	status, _ = r.do(t, r.ask("parcel", ""))
+	want(t, "the class that came", status, 200)
+	status, _ = r.do(t, r.ask("checkin", ""))
+	want(t, "the class that went", status, 400)
+	status, _ = r.do(t, r.ask("parcel", "", "X-Tenant", "t1"))
+	want(t, "the tenant that came", status, 200)
+	status, _ = r.do(t, r.ask("parcel", "", "X-Tenant", "t2"))
+	want(t, "a tenant that is not set", status, 503)
+	r.loopSays(func(l *loop) bool {
+		want(t, "connect time-out", l.dial.timeout, 70*time.Millisecond)
+		want(t, "idle for", l.idleFor, 15*time.Second)
+		want(t, "attempts", l.settings.Limits.MaxAttempts, 2)
+		want(t, "retry-after", l.settings.Limits.RetryAfter, true)
+		return true
+	})
+	r.log.has(t, "configuration in force", "took=", "classes_added=1 classes_changed=1 classes_gone=1",
+		"tenants_added=1 tenants_changed=0 tenants_gone=0")
+	text, err := os.ReadFile(r.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hash := fmt.Sprintf("%x", sha256.Sum256(text))[:12]
+	r.log.has(t, "configuration in force", "hash="+hash)
+	r.signal(t, hash)
+	r.log.has(t, "the file's bytes are the same", "hash="+hash)
+	status, _ = r.do(t, r.ask("parcel", ""))
+	want(t, "after the same again", status, 200)
+}
+
+// The hash that a start logs is that of the file it has read.
+func TestHashOfTheStart(t *testing.T) {
+	c, err := load(t, configText, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want(t, "hash", c.Hash, fmt.Sprintf("%x", sha256.Sum256([]byte(configText)))[:12])
+}
+
+// What is in hand ends as it was taken: a class that is gone is served to the end, and sent again where it may run twice;
+// nothing new of it is taken.
+func TestWhatIsInHandEndsByItsOwnTerms(t *testing.T) {
+	release := make(chan struct{})
+	var asked atomic.Int32
+	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		<-release
+		return asked.Add(1) > 1 && okAll(c, r) // the first answer breaks off
+	})
+	r := newReloading(t, func(*Config) {}, up("s-00000001", s), up("s-00000002", s))
+	keyed := r.connect(t)
+	keyed.send(t, r.ask("pay", ""))
+	<-s.arrivals
+	r.reload(t, `"name":"pay"`, `"name":"other"`, `"give_up_us":4000000`, `"give_up_us":2000000`, `"max_attempts":3`, `"max_attempts":3`)
+	status, _ := r.do(t, r.ask("pay", ""))
+	want(t, "a new request of the class that is gone", status, 400)
+	close(release)
+	want(t, "the one in hand", keyed.answer(t).StatusCode, 200)
+	want(t, "attempts of it", len(s.arrivals)+1, 2)
+}
+
+// A deadline that is changed while requests are in hand is that of the next ones. Each request ends once, in time.
+func TestDeadlineOfWhatIsInHandStays(t *testing.T) {
+	s := newServer(t, func(net.Conn, *http.Request) bool { select {} })
+	h := newHand(t)
+	h.list(20, up("s-00000001", s))
+	before := h.begin("checkin", "1", 4*time.Second)
+	shorter := configOf(t, "127.0.0.1:8500", nil, `"name":"checkin","target_us":2000000,"give_up_us":4000000`,
+		`"name":"checkin","target_us":500000,"give_up_us":1000000`)
+	reloaded{again(shorter), nil}.apply(h.loop)
+	after := h.begin("checkin", "2", time.Second)
+	h.epoch += 1500 * time.Millisecond
+	h.ring()
+	want(t, "the new one has ended", len(after.reply), 1)
+	want(t, "the older one has not", len(before.reply), 0)
+	h.epoch += 3 * time.Second
+	h.ring()
+	want(t, "the older one has ended", (<-before.reply).status, http.StatusGatewayTimeout)
+	want(t, "the new one", (<-after.reply).status, http.StatusGatewayTimeout)
+}
+
+// A request is read by the settings before a reload, and heard by the loop after it: the client is told to go on with its
+// body once its head has been checked, and does so when the new settings are in force.
+func TestRequestReadBeforeTheSwapAndHeardAfterIt(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		replaced []string
+		status   int
+		sends    int
+	}{
+		{"class gone", gone, 503, 0},
+		{"unchanged", nil, 502, 1},
+		{"may run twice now, but has no key", []string{`"name":"checkin","target_us":2000000,"give_up_us":4000000,"repeat":"non_idempotent"`,
+			`"name":"checkin","target_us":2000000,"give_up_us":4000000,"repeat":"idempotency_key","group":"all","memory_span_us":9000000`}, 502, 1},
+		{"shorter", []string{`"name":"checkin","target_us":2000000,"give_up_us":4000000`,
+			`"name":"checkin","target_us":1000,"give_up_us":1000`}, 502, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newServer(t, func(net.Conn, *http.Request) bool { return false }) // it breaks off
+			r := newReloading(t, func(*Config) {}, up("s-00000001", s), up("s-00000002", s))
+			raw := r.connect(t)
+			io.WriteString(raw, checkin("X-Request-Id: 1\r\nContent-Length: 4\r\nExpect: 100-continue\r\n"))
+			want(t, "asked to go on", raw.answer(t).StatusCode, 100)
+			r.reload(t, append([]string{`"az":"z1"`, `"az":"z2"`}, c.replaced...)...)
+			io.WriteString(raw, "body")
+			want(t, "status", raw.answer(t).StatusCode, c.status)
+			want(t, "attempts", len(s.arrivals), c.sends)
+			r.loopSays(func(l *loop) bool { want(t, "kept", len(l.requests)+len(l.open), 0); return true })
+		})
+	}
+}
+
+// A file that can't be read or is not valid changes nothing, and the log names it and what is wrong.
+func TestInvalidConfigurationChangesNothing(t *testing.T) {
+	s := newServer(t, okAll)
+	r := newReloading(t, func(*Config) {}, up("s-00000001", s))
+	r.reload(t, added("parcel")...)
+	in := func() (p *clayladder.Plan) {
+		r.loopSays(func(l *loop) bool { p = l.balancer.Plan(); return true })
+		return p
+	}
+	held := in()
+	good := configWith(t, r.config.Discovery, nil, added("parcel")...)
+	spoilt := func(old, new string) string {
+		if !strings.Contains(good, old) {
+			t.Fatalf("no %s", old)
+		}
+		return strings.Replace(good, old, new, 1)
+	}
+	tenants := func(list string) string { return spoilt(`"reporting"`, `"tenants":`+list+`,"reporting"`) }
+	for i, c := range []struct {
+		text  string
+		names []string
+	}{
+		{"", []string{"EOF"}},
+		{"{", []string{"EOF"}},
+		{good[:len(good)/2], []string{"settings", "EOF"}},
+		{good + "}", []string{"invalid character"}},
+		{strings.Replace(good, `"worth":1`, `"worth":`, 1), []string{"profiles", "invalid character"}},
+		{"\x00\xff", []string{"invalid character"}},
+		{"[]", []string{"invalid character"}},
+		{spoilt(`"settings"`, `"other"`), []string{"settings are missing"}},
+		{spoilt(r.config.Discovery, "nowhere"), []string{"discovery"}},
+		{spoilt(`"balancers":1`, `"balancers":0`), []string{"Balancers"}},
+		{spoilt(`"max_attempts":3`, `"max_attempts":"3"`), []string{"max_attempts"}},
+		{spoilt(`"keepalive_us":60000000`, `"keepalive_us":0`), []string{"keepalive_us"}},
+		{spoilt(`"membership_mode":"on_request"`, `"membership_mode":"by hand"`), []string{"membership_mode", "by hand"}},
+		{spoilt(`"name":"pay"`, `"name":"read"`), []string{"profiles", "read", "twice"}},
+		{spoilt(`"repeat":"idempotency_key"`, `"repeat":"often"`), []string{"profiles", "pay", "often"}},
+		{spoilt(`"memory_span_us":9000000`, `"memory_span_us":0`), []string{"pay", "Memory"}},
+		{spoilt(`{"name":"checkin","target_us":2000000`, `{"name":"checkin","target_us":"2 s"`), []string{"checkin", "target_us"}},
+		{spoilt(`{"name":"checkin","target_us":2000000`, `{"name":"checkin","target_us":0`), []string{"checkin", "Aim"}},
+		{tenants(`[{"name":"t1","quota_rps":1},{"name":"t1","quota_rps":1}]`), []string{"tenants", "t1", "twice"}},
+		{tenants(`[{"name":"t1","quota_rps":-1}]`), []string{"tenants", "t1", "Quota"}},
+		{tenants(`{"t1":1}`), []string{"tenants", "invalid character"}},
+	} {
+		path := r.path
+		if i%2 == 0 { // each by another name, so that a line can't be an older one's
+			path = filepath.Join(filepath.Dir(path), fmt.Sprint("config-", i, ".json"))
+		}
+		old := r.path
+		r.path = path
+		r.put(t, c.text)
+		lines := r.log.count("the old one stays")
+		r.hangups <- syscall.SIGHUP
+		r.until(t, "a line", func() bool { return r.log.count("the old one stays") > lines })
+		r.log.has(t, append([]string{"the old one stays", filepath.Base(path)}, c.names...)...)
+		r.path = old
+	}
+	os.Remove(r.path)
+	r.hangups <- syscall.SIGHUP
+	r.log.has(t, "the old one stays", r.path, "no such file")
+	want(t, "the plan in force", in(), held)
+	want(t, "configurations in force", len(r.inForce), 0)
+	status, _ := r.do(t, r.ask("parcel", ""))
+	want(t, "still served", status, 200)
+	r.reload(t, added("letter")...)
+	status, _ = r.do(t, r.ask("letter", ""))
+	want(t, "after a good one", status, 200)
+}
+
+// What can't change in a running process keeps its value, and the log names it. The rest of the file is in force.
+func TestWhatNeedsARestartIsNamed(t *testing.T) {
+	s := newServer(t, okAll)
+	r := newReloading(t, func(*Config) {}, up("s-00000001", s))
+	r.reload(t)
+	want(t, "nothing differs", r.log.count("next start"), 0)
+	text := configWith(t, r.config.Discovery, nil, added("parcel")...)
+	for _, x := range [][2]string{{`"name":"n0"`, `"name":"n9"`}, {`"listen":"127.0.0.1:0"`, `"listen":"127.0.0.1:1"`},
+		{`"seed":"8c1f30d27a5be964"`, `"seed":"1"`}, {`"memory_mb":192`, `"memory_mb":64`}, {`"sockets":1024`, `"sockets":512`}} {
+		if !strings.Contains(text, x[0]) {
+			t.Fatalf("no %s", x[0])
+		}
+		text = strings.Replace(text, x[0], x[1], 1)
+	}
+	r.signal(t, r.put(t, strings.Replace(text, `"seed"`, `"operator":"127.0.0.1:2","seed"`, 1)))
+	for _, x := range []string{"setting=name in_force=n0 in_file=n9", "setting=listen in_force=127.0.0.1:0 in_file=127.0.0.1:1",
+		`setting=operator in_force="" in_file=127.0.0.1:2`, "setting=seed in_force=10096893425105759588 in_file=1",
+		"setting=limits.memory_mb in_force=192 in_file=64", "setting=limits.sockets in_force=1024 in_file=512"} {
+		r.log.has(t, x)
+	}
+	want(t, "lines", r.log.count("next start"), 6)
+	r.loopSays(func(l *loop) bool { want(t, "connections", l.maxConns, 1024/3); return true })
+	status, _ := r.do(t, r.ask("parcel", ""))
+	want(t, "the rest is in force", status, 200)
+}
+
+// Reloads come faster than they can be taken. While one is being built its file is replaced, and signals come, again and again:
+// what goes in force next is the newest file, whole, and nothing older after it.
+func TestNewestOfABurstIsInForce(t *testing.T) {
+	s := newServer(t, okAll)
+	r := newReloading(t, func(*Config) {}, up("s-00000001", s))
+	fill := func(i int) []string { // enough for many slices; classes and tenants tell which file they are of
+		var list strings.Builder
+		for k := range 5000 {
+			fmt.Fprintf(&list, `{"name":"t%d","quota_rps":%d},`, k, i)
+		}
+		return append(added(fmt.Sprint("class", i)), `"reporting"`, `"tenants":[`+list.String()+fmt.Sprintf(`{"name":"last","quota_rps":%d}],"reporting"`, i))
+	}
+	hashes := map[string]int{}
+	building, build := make(chan struct{}), make(chan struct{})
+	hold := func(time.Duration) { building <- struct{}{}; <-build }
+	r.hold.Store(&hold)
+	hashes[r.write(t, fill(1)...)] = 1
+	r.hangups <- syscall.SIGHUP
+	<-building // a part of it has been built
+	for i := 2; i <= 6; i++ {
+		hashes[r.write(t, fill(i)...)] = i
+		select {
+		case r.hangups <- syscall.SIGHUP:
+		default: // as the system's signals do: one is waiting
+		}
+	}
+	r.hold.Store(nil)
+	close(build)
+	want(t, "first in force", hashes[r.next(t)], 1)
+	want(t, "then the newest", hashes[r.next(t)], 6)
+	r.log.has(t, "configuration in force", "tenants_changed=5001 tenants_gone=0", "classes_added=1 classes_changed=0 classes_gone=1")
+	for i, status := range map[string]int{"class1": 400, "class2": 400, "class5": 400, "class6": 200} {
+		got, _ := r.do(t, r.ask(i, "", "X-Tenant", "last"))
+		want(t, i, got, status)
+	}
+	// A flood of signals, with a new file for each, as fast as they can be written.
+	last := ""
+	for i := 7; i < 40; i++ {
+		last = r.write(t, fill(i)...)
+		hashes[last] = i
+		select {
+		case r.hangups <- syscall.SIGHUP:
+		default:
+		}
+	}
+	for newest := 6; ; {
+		hash := r.next(t)
+		if hashes[hash] <= newest {
+			t.Errorf("%d is in force after %d", hashes[hash], newest)
+		}
+		if newest = hashes[hash]; hash == last {
+			break
+		}
+	}
+	status, _ := r.do(t, r.ask("class39", "", "X-Tenant", "last"))
+	want(t, "the last class", status, 200)
+}
+
+// While the loop takes nothing, signals and files go on: the reload that was built waits, none is lost, and behind it the
+// newest file is read.
+func TestReloadsWhileTheLoopIsHeldUp(t *testing.T) {
+	s := newServer(t, okAll)
+	r := newReloading(t, func(*Config) {}, up("s-00000001", s))
+	held, let := make(chan struct{}), make(chan struct{})
+	go r.loopSays(func(*loop) bool { close(held); <-let; return true })
+	<-held
+	first := r.write(t, added("a")...)
+	r.hangups <- syscall.SIGHUP
+	r.until(t, "the signal is taken", func() bool { return len(r.hangups) == 0 })
+	var last string
+	for i := range 100 {
+		last = r.write(t, added(fmt.Sprint("b", i))...)
+		select {
+		case r.hangups <- syscall.SIGHUP:
+		default:
+		}
+	}
+	want(t, "in force while the loop is held up", len(r.inForce), 0)
+	close(let)
+	hash := r.next(t)
+	for hash != last {
+		hash = r.next(t)
+	}
+	status, _ := r.do(t, r.ask("b99", ""))
+	want(t, "the newest", status, 200)
+	status, _ = r.do(t, r.ask("a", ""))
+	want(t, "the first, "+first, status, 400)
+}
+
+// SIGTERM and SIGHUP cross, in both orders: what was taken is answered, and what comes until the listener is closed goes by
+// the settings that are in force.
+func TestStopAndSettingsCross(t *testing.T) {
+	for _, stopFirst := range []bool{false, true} {
+		t.Run(fmt.Sprint("stop first ", stopFirst), func(t *testing.T) {
+			release := make(chan struct{})
+			s := newServer(t, func(c net.Conn, q *http.Request) bool {
+				if strings.HasPrefix(q.URL.Path, "/checkin") {
+					<-release
+				}
+				return okAll(c, q)
+			})
+			r := newReloading(t, func(*Config) {}, up("s-00000001", s))
+			taken := r.connect(t)
+			taken.send(t, r.ask("checkin", ""))
+			<-s.arrivals
+			late := r.connect(t) // its request has begun when the stop comes, so it is waited for
+			io.WriteString(late, "POST /parcel")
+			if stopFirst {
+				r.cancel()
+				r.until(t, "the stop has begun", func() bool { return r.health(t) != 200 })
+			}
+			r.reload(t, append(added("parcel"), gone...)...)
+			r.cancel()
+			io.WriteString(late, "/x HTTP/1.1\r\nHost: x\r\nX-Class: parcel\r\nX-Request-Id: late\r\nContent-Length: 0\r\n\r\n")
+			want(t, "of the new class", late.answer(t).StatusCode, 200)
+			close(release)
+			want(t, "the request in hand", taken.answer(t).StatusCode, 200)
+			if err := <-r.ended; err != nil {
+				t.Error(err)
+			}
+			r.ended <- nil
+		})
+	}
+}
+
+// Settings and discovery change in one file: both are in force, and a late answer of the old discovery is none.
+func TestSettingsAndDiscoveryMoveTogether(t *testing.T) {
+	one, two := newServer(t, okAll), newServer(t, okAll)
+	r := newReloading(t, func(*Config) {}, up("s-00000001", one))
+	<-r.registry.calls
+	next := newRegistry(t)
+	r.signal(t, r.put(t, configWith(t, next.addr, nil, added("parcel")...)))
+	want(t, "call at the new discovery", <-next.calls, "")
+	next.answers <- listing{Revision: 3, Complete: true, Members: []member{up("s-00000002", two)}}
+	want(t, "its next call", since(<-next.calls), "since=3")
+	status, _ := r.do(t, r.ask("parcel", ""))
+	want(t, "of the new class", status, 200)
+	want(t, "requests at the old list's server", len(one.arrivals), 0)
+	want(t, "requests at the new one's", len(two.arrivals), 1)
+	// An invalid file moves nothing.
+	r.put(t, strings.Replace(configWith(t, r.config.Discovery, nil, added("letter")...), `"balancers":1`, `"balancers":0`, 1))
+	r.hangups <- syscall.SIGHUP
+	r.log.has(t, "the old one stays")
+	r.loopSays(func(l *loop) bool { want(t, "discovery", l.discovery.address, next.addr); return true })
+}
+
+// A list and a reload come in the same moment, in both orders: both hold for the first request after them.
+func TestListAndSettingsInTheSameMoment(t *testing.T) {
+	for _, listFirst := range []bool{false, true} {
+		t.Run(fmt.Sprint("list first ", listFirst), func(t *testing.T) {
+			one, two := newServer(t, okAll), newServer(t, okAll)
+			r := newReloading(t, func(*Config) {}, up("s-00000001", one))
+			<-r.registry.calls
+			held, let := make(chan struct{}), make(chan struct{})
+			go r.loopSays(func(*loop) bool { close(held); <-let; return true })
+			<-held // the loop stands still, and both come up
+			list := func() {
+				r.registry.answers <- listing{Revision: 12, Complete: true, Members: []member{up("s-00000002", two)}}
+				r.until(t, "the list waits", func() bool { return len(r.loop.lists) == 1 })
+			}
+			if listFirst {
+				list()
+			}
+			hash := r.write(t, added("parcel")...)
+			r.hangups <- syscall.SIGHUP
+			r.until(t, "the reload waits", func() bool { return len(r.loop.events) == 1 })
+			if !listFirst {
+				list()
+			}
+			close(let)
+			want(t, "in force", r.next(t), hash)
+			status, _ := r.do(t, r.ask("parcel", ""))
+			want(t, "of the new class", status, 200)
+			want(t, "requests at the server that left", len(one.arrivals), 0)
+			want(t, "requests at the one that came", len(two.arrivals), 1)
+		})
+	}
+}
+
+// Two processes of one balancer each take their own SIGHUP, the older one last and while it ends: no request of the class that
+// came is lost once both have it, and what the older one has in hand is answered.
+func TestReplacementAndSettingsCross(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	release := make(chan struct{})
+	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		if strings.HasPrefix(r.URL.Path, "/checkin") {
+			<-release
+		}
+		return okAll(c, r)
+	})
+	members, dir := []member{up("s-00000001", s)}, t.TempDir()
+	process := func() *reloading {
+		admin := freeAddress(t)
+		r := newReloading(t, func(c *Config) {
+			c.Operator, c.StateDir, c.Inherited = admin, dir, inherit(t, l.(*net.TCPListener))
+		}, members...)
+		r.url = "http://" + l.Addr().String()
+		return r
+	}
+	older := process()
+	<-older.registry.calls
+	older.registry.answers <- listing{Revision: 11, Complete: true, Members: members}
+	older.until(t, "ready", func() bool { return older.call(t, "GET", "/control/ready") == 200 })
+	taken := older.connect(t)
+	taken.send(t, older.ask("checkin", ""))
+	<-s.arrivals
+	newer := process()
+	<-newer.registry.calls
+	newer.reload(t, append(added("parcel"), gone...)...) // before it is ready
+	newer.registry.answers <- listing{Revision: 11, Complete: true, Members: members}
+	newer.until(t, "ready", func() bool { return newer.call(t, "GET", "/control/ready") == 200 })
+	older.cancel() // the older one takes no more connections, and still takes its reload
+	older.reload(t, append(added("parcel"), gone...)...)
+	for range 20 {
+		c := newer.connect(t)
+		c.send(t, newer.ask("parcel", ""))
+		want(t, "on a new connection", c.answer(t).StatusCode, 200)
+	}
+	close(release)
+	want(t, "taken by the older one", taken.answer(t).StatusCode, 200)
+	if err := <-older.ended; err != nil {
+		t.Error(err)
+	}
+	older.ended <- nil
+}
+
+// A thousand reloads, each with other classes and tenants that are used in between: what is held returns to its size.
+func TestMemoryAfterManyReloads(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(i int) {
+		var profiles, tenants strings.Builder
+		for k := range 200 {
+			fmt.Fprintf(&profiles, `{"name":"c%d-%d","target_us":250000,"give_up_us":750000,"repeat":"read_like","worth":1},`, i, k)
+		}
+		for k := range 1000 {
+			fmt.Fprintf(&tenants, `{"name":"t%d-%d","quota_rps":2.1},`, i, k)
+		}
+		text := configWith(t, "127.0.0.1:8500", nil, `"profiles":[`, `"profiles":[`+profiles.String(), `"reporting"`,
+			`"tenants":[`+tenants.String()+`{"name":"last","quota_rps":1}],"reporting"`)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(0)
+	getenv := func(name string) string { return map[string]string{"RELAY_CONFIG": path}[name] }
+	c, err := LoadConfig(getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newLoop(t.Context(), &c)
+	l.start(&c, nil)
+	l.Watch(false)
+	l.members(clayladder.ListFull, listing{})
+	r := NewReloader(getenv, c)
+	r.log = slog.New(slog.DiscardHandler)
+	c = Config{}
+	live := func() uint64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	var early uint64
+	for i := 1; i <= 1000; i++ {
+		write(i)
+		x, err := r.read(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reloaded{x, nil}.apply(l)
+		for k := range 200 { // there is no server: each is refused, and both its class and its tenant have been met
+			q := &request{name: "1", at: l.now(), reply: make(chan answer, 1)}
+			q.Class, q.Tenant, q.Budget = fmt.Sprintf("c%d-%d", i, k), fmt.Sprintf("t%d-%d", i, 5*k), time.Millisecond
+			arrived{q}.apply(l)
+			l.settle()
+			if len(q.reply) != 1 {
+				t.Fatalf("reload %d: a request of the class that came is not answered", i)
+			}
+		}
+		l.epoch += 2 * time.Second // all alarms are due, and the module's tick forgets what is gone
+		l.ring()
+		if i == 10 {
+			early = live()
+		}
+	}
+	late := live()
+	t.Logf("live: %d KB after 10 reloads, %d KB after 1,000", early>>10, late>>10)
+	if late > early+early/20 {
+		t.Errorf("%d bytes are live after 1,000 reloads, %d after 10", late, early)
+	}
+	runtime.KeepAlive(r)
+}
+
+// The work of reading a configuration again is cut into parts of a bounded size, whatever the file holds: between two of them
+// the loop can run.
+func TestReadingIsCutIntoSmallParts(t *testing.T) {
+	text := large(t, 400, 2000, 1)
+	text = strings.Replace(text, `"settings":{`, `"later":[`+strings.Repeat(`{"a":[1,2,{"b":"c"}]},`, 2000)+`0],"settings":{`, 1)
+	in := &counted{r: strings.NewReader(text)}
+	steps, last, most := 0, 0, 0
+	d := wire.NewDecoder(in, func() {
+		steps++
+		most, last = max(most, in.n-last), in.n
+	})
+	plan := clayladder.NewPlanBuilder()
+	if err := d.Object(func(key string) error {
+		if key != "settings" {
+			return d.Field(key, &file{})
+		}
+		_, _, err := d.Settings(plan.AddClass, plan.AddTenant)
+		return err
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if steps < 2400+4000 || most > 4096 {
+		t.Errorf("%d steps; up to %d bytes between two of them", steps, most)
+	}
+}
+
+// counted counts what is read of r.
+type counted struct {
+	r io.Reader
+	n int
+}
+
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.r.Read(b)
+	c.n += n
+	return n, err
+}
+
+// A slice of work is followed by a pause of about its length, at the latest after some small steps; without pauses, as at the
+// start, there are none.
+func TestSlices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var pauses []time.Duration
+		s := &slicer{began: time.Now(), pause: func(d time.Duration) { pauses = append(pauses, d) }}
+		for range 100 * stepsLook {
+			time.Sleep(slice / 50) // that much work
+			s.step()
+		}
+		total := time.Duration(0)
+		for _, d := range pauses {
+			if d < slice || d > 2*slice {
+				t.Errorf("a pause of %v after a slice of %v", d, slice)
+			}
+			total += d
+		}
+		if work := 100 * stepsLook * slice / 50; total < work*9/10 {
+			t.Errorf("%v of pauses in %v of work", total, work)
+		}
+	})
+	var none *slicer
+	none.step()
+	none.look()
+}
+
+// large is a configuration of many classes and tenants, of which the first tenant has a quota.
+func large(t testing.TB, classes, tenants int, quota float64) string {
+	t.Helper()
+	var b strings.Builder
+	for i := range classes {
+		fmt.Fprintf(&b, `{"name":"route-%05d","target_us":250000,"give_up_us":750000,"repeat":"idempotency_key","group":"all",`+
+			`"memory_span_us":9000000,"worth":%d,"late_worth":0.5},`, i, i%7+1)
+	}
+	profiles := b.String()
+	b.Reset()
+	fmt.Fprintf(&b, `"tenants":[{"name":"tenant-first","quota_rps":%g,"share":0.01}`, quota)
+	for i := range tenants {
+		fmt.Fprintf(&b, `,{"name":"tenant-%05d","quota_rps":2.1,"share":0.00001}`, i)
+	}
+	return configWith(t, "127.0.0.1:8500", nil, `"profiles":[`, b.String()+`],"profiles":[`+profiles)
+}
+
+// processorTime is what the process has worked so far.
+func processorTime(t testing.TB) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkReload tells, at the size of the fleet to come and with one processor as in service, how long a reload takes from
+// its signal, the processor time it takes beside an idle loop, and for how long it holds up a goroutine that wakes
+// every 100 µs and asks the loop for a turn.
+func BenchmarkReload(b *testing.B) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	gc := 400
+	if os.Getenv("NOGC") != "" {
+		gc = -1
+	}
+	defer debug.SetGCPercent(debug.SetGCPercent(gc))
+	for _, size := range [][2]int{{17000, 72000}, {1700, 7200}} {
+		b.Run(fmt.Sprint(size[0], "+", size[1]), func(b *testing.B) {
+			path := filepath.Join(b.TempDir(), "config.json")
+			write := func(quota float64) {
+				if err := os.WriteFile(path, []byte(large(b, size[0], size[1], quota)), 0o600); err != nil {
+					b.Fatal(err)
+				}
+			}
+			write(1)
+			getenv := func(name string) string { return map[string]string{"RELAY_CONFIG": path}[name] }
+			c, err := LoadConfig(getenv)
+			if err != nil {
+				b.Fatal(err)
+			}
+			l := newLoop(b.Context(), &c)
+			l.start(&c, nil)
+			l.Watch(false)
+			go l.run()
+			hangups, reloads, inForce := make(chan os.Signal, 1), make(chan Reload), make(chan time.Duration, 1)
+			c.SettingsInForce = func(_ string, took time.Duration) { inForce <- took }
+			r := NewReloader(getenv, c)
+			r.log = slog.New(slog.DiscardHandler)
+			c = Config{}
+			go r.Follow(b.Context(), hangups, reloads)
+			go func() {
+				for {
+					select {
+					case x := <-reloads:
+						l.post(reloaded{x, nil})
+					case <-b.Context().Done():
+						return
+					}
+				}
+			}()
+			// held is for how long turns were late, by the clock, and what the process worked until each: that is what held
+			// it up, and a busy machine moves it less.
+			type held struct{ late, work []time.Duration }
+			turns := func(h *held, until func() bool) {
+				for !until() {
+					begin, work := time.Now(), processorTime(b)
+					time.Sleep(100 * time.Microsecond)
+					t := make(turn)
+					l.post(t)
+					<-t
+					h.late = append(h.late, time.Since(begin)-100*time.Microsecond)
+					h.work = append(h.work, processorTime(b)-work)
+				}
+			}
+			var idle, busy held
+			end := time.Now().Add(time.Second)
+			turns(&idle, func() bool { return time.Now().After(end) })
+			var took, work time.Duration
+			for i := range b.N {
+				write(float64(i + 2))
+				runtime.GC() // what the test has made is not the reload's
+				hangups <- nil
+				var last time.Duration
+				begin := processorTime(b)
+				turns(&busy, func() bool {
+					select {
+					case last = <-inForce:
+						return true
+					default:
+						return false
+					}
+				})
+				took, work = took+last, work+processorTime(b)-begin
+			}
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			b.ReportMetric(float64(took.Milliseconds())/float64(b.N), "ms-to-force")
+			b.ReportMetric(float64(work.Milliseconds())/float64(b.N), "ms-processor")
+			for name, xs := range map[string][]time.Duration{"late": busy.late, "work": busy.work, "idle-late": idle.late,
+				"idle-work": idle.work} {
+				slices.Sort(xs)
+				b.ReportMetric(float64(xs[len(xs)-1].Microseconds()), "µs-"+name+"-worst")
+				b.ReportMetric(float64(xs[len(xs)*99/100].Microseconds()), "µs-"+name+"-p99")
+			}
+			b.ReportMetric(float64(m.HeapSys>>20), "MB-heap-sys")
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			b.ReportMetric(float64(m.HeapAlloc>>20), "MB-live")
+		})
+	}
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,15 +10,16 @@
 )
 
 // Decoder reads JSON a small part at a time: a list entry by entry, an object field by field. It means the same by a text as
-// json.Unmarshal does: names fit whatever their case, what is unknown is passed over, null leaves things as they are.
+// json.Unmarshal does: names fit whatever their case, what is unknown is passed over, null leaves things as they are. Only a
+// list that is there twice is an error, since the entries of the first have been handed over by then.
 type Decoder struct {
 	*json.Decoder
 	step func()
 }
 
-// NewDecoder returns a Decoder of a text. It calls step after each small part.
-func NewDecoder(text []byte, step func()) *Decoder {
-	d := &Decoder{json.NewDecoder(bytes.NewReader(text)), step}
+// NewDecoder returns a Decoder of what r reads. It calls step after each small part.
+func NewDecoder(r io.Reader, step func()) *Decoder {
+	d := &Decoder{json.NewDecoder(r), step}
 	d.UseNumber() // what is passed over may be any number
 	return d
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"fmt"
 	"strings"
 	"time"
@@ -85,31 +86,47 @@
 
 // DecodeSettings reads the settings object of a start message.
 func DecodeSettings(text []byte) (clayladder.Settings, Links, error) {
-	d := NewDecoder(text, func() {})
-	s, links, err := d.Settings()
-	if err == nil {
-		if err = d.End(); err != nil {
-			err = fmt.Errorf("settings: %w", err)
-		}
+	var classes []clayladder.Class
+	var tenants []clayladder.Tenant
+	d := NewDecoder(bytes.NewReader(text), func() {})
+	s, links, err := d.Settings(
+		func(c clayladder.Class) error { classes = append(classes, c); return nil },
+		func(t clayladder.Tenant) error { tenants = append(tenants, t); return nil })
+	if err != nil {
+		return s, links, err
 	}
-	return s, links, err
+	if err := d.End(); err != nil {
+		return s, links, fmt.Errorf("settings: %w", err)
+	}
+	s.Classes, s.Tenants = classes, tenants
+	return s, links, nil
 }
 
-// Settings reads the settings object of a start message or of a real balancer's configuration. An error names the setting.
-func (d *Decoder) Settings() (clayladder.Settings, Links, error) {
+// Settings reads the settings object of a start message or of a real balancer's configuration, but for the classes and
+// tenants: it hands these over as they come. An error names the setting.
+func (d *Decoder) Settings(class func(clayladder.Class) error, tenant func(clayladder.Tenant) error) (clayladder.Settings, Links, error) {
 	var p params
 	var s clayladder.Settings
 	var links Links
+	seen := map[string]bool{}
 	if err := d.Object(func(key string) error {
-		switch {
-		case strings.EqualFold(key, "profiles"):
-			s.Classes = nil
-			return d.List(func(i int) error { return d.class(i, &s) })
-		case strings.EqualFold(key, "tenants"):
-			s.Tenants = nil
-			return d.List(func(i int) error { return d.tenant(i, &s) })
+		list := strings.ToLower(key)
+		entry := map[string]func() error{
+			"profiles": func() error { return d.class(class) },
+			"tenants":  func() error { return d.tenant(tenant) },
+		}[list]
+		if entry == nil {
+			return d.Field(key, &p)
+		} else if seen[list] {
+			return fmt.Errorf("%s is there twice", list)
 		}
-		return d.Field(key, &p)
+		seen[list] = true
+		return d.List(func(i int) error {
+			if err := entry(); err != nil {
+				return fmt.Errorf("%s: entry %d: %w", list, i, err)
+			}
+			return nil
+		})
 	}); err != nil {
 		return s, links, fmt.Errorf("settings: %w", err)
 	}
@@ -135,33 +152,31 @@
 }
 
 // class reads an entry of the list of classes.
-func (d *Decoder) class(i int, s *clayladder.Settings) error {
+func (d *Decoder) class(add func(clayladder.Class) error) error {
 	var p profile
 	if err := d.Decode(&p); err != nil {
-		return fmt.Errorf("profiles: entry %d, %q: %w", i, p.Name, whole(err))
+		return fmt.Errorf("%q: %w", p.Name, whole(err))
 	}
-	class := clayladder.Class{Name: p.Name, Aim: us(p.Target), Deadline: us(p.GiveUp), Memory: us(p.Memory),
-		Worth: p.Worth, LateWorth: p.LateWorth}
+	c := clayladder.Class{Name: p.Name, Aim: us(p.Target), Deadline: us(p.GiveUp), Memory: us(p.Memory), Worth: p.Worth,
+		LateWorth: p.LateWorth}
 	var ok bool
-	if class.Repeat, ok = repeats[p.Repeat]; !ok {
-		return fmt.Errorf("profiles: entry %d, %q: repeat %q is unknown", i, p.Name, p.Repeat)
+	if c.Repeat, ok = repeats[p.Repeat]; !ok {
+		return fmt.Errorf("%q: repeat %q is unknown", p.Name, p.Repeat)
 	}
-	if class.Group, ok = groups[p.Group]; !ok && class.Repeat == clayladder.Keyed {
-		return fmt.Errorf("profiles: entry %d, %q: group %q is unknown", i, p.Name, p.Group)
+	if c.Group, ok = groups[p.Group]; !ok && c.Repeat == clayladder.Keyed {
+		return fmt.Errorf("%q: group %q is unknown", p.Name, p.Group)
 	}
-	s.Classes = append(s.Classes, class)
-	return nil
+	return add(c)
 }
 
 // tenant reads an entry of the list of tenants.
-func (d *Decoder) tenant(i int, s *clayladder.Settings) error {
+func (d *Decoder) tenant(add func(clayladder.Tenant) error) error {
 	var t struct {
 		Name  string  `json:"name"`
 		Quota float64 `json:"quota_rps"`
 	}
 	if err := d.Decode(&t); err != nil {
-		return fmt.Errorf("tenants: entry %d, %q: %w", i, t.Name, whole(err))
+		return fmt.Errorf("%q: %w", t.Name, whole(err))
 	}
-	s.Tenants = append(s.Tenants, clayladder.Tenant{Name: t.Name, Quota: t.Quota})
-	return nil
+	return add(clayladder.Tenant{Name: t.Name, Quota: t.Quota})
 }
--- a/reload_test.go
+++ b/reload_test.go
@@ -104,7 +104,7 @@
 			{"read", func(c *Class) { c.Aim, c.Deadline = ms, ms }, 2}, // it is given a second all the same
 		} {
 			b, h := start(t, settings(), fleet(1))
-			q := Request{ID: 1, Class: c.class, Budget: time.Second, Terms: b.plan.Terms(c.class)}
+			q := Request{ID: 1, Class: c.class, Budget: time.Second, Terms: b.plan.Class(c.class)}
 			if !heardAfter {
 				b.Request(time.Hour, q)
 			}
@@ -295,7 +295,7 @@
 				t.Fatal(err)
 			}
 			best = min(best, time.Since(begin))
-			if steps != 2*len(s.Classes)+len(s.Tenants) {
+			if steps != len(s.Classes)+len(s.Tenants) {
 				t.Fatalf("%d steps for %d classes", steps, classes)
 			}
 		}
--- a/service_test.go
+++ b/service_test.go
@@ -397,10 +397,10 @@
 	s := settings()
 	s.Classes[0].Worth = 0
 	b, _ := start(t, s, fleet(1))
-	if x := b.plan.Terms("read").stake; x != 1 {
+	if x := b.plan.stake(b.plan.Class("read").Worth); x != 1 {
 		t.Errorf("stake %v of a class worth nothing", x)
 	}
-	if x := b.plan.Terms("keyed").stake; x != s.Classes[2].Worth/s.Classes[1].Worth {
+	if x := b.plan.stake(b.plan.Class("keyed").Worth); x != s.Classes[2].Worth/s.Classes[1].Worth {
 		t.Errorf("stake %v beside a class worth nothing", x)
 	}
 }
--- a/settings.go
+++ b/settings.go
@@ -22,8 +22,9 @@
 // goroutines may share it.
 type Plan struct {
 	s        Settings // without Classes and Tenants
-	classes  map[string]*Terms
+	classes  map[string]*Class
 	tenants  map[string]float64 // quotas
+	least    float64            // worth of a class, over nought; infinite: none is worth anything
 	safest   Repeat
 	shortest time.Duration // aim
 	longest  time.Duration // deadline
@@ -32,44 +33,74 @@
 // NewPlan checks settings and makes a plan of them, or an error that names the setting that is wrong. It may be called on
 // any goroutine. It calls step after each small part of the work, which grows as the classes and tenants do.
 func NewPlan(s Settings, step func()) (*Plan, error) {
-	if err := s.validate(); err != nil {
-		return nil, err
-	}
-	p := &Plan{s: s, classes: map[string]*Terms{}, tenants: map[string]float64{}, safest: Unsafe, shortest: s.Classes[0].Aim}
-	p.s.Classes, p.s.Tenants = nil, nil
-	least := math.Inf(1) // worth over nought
+	b := NewPlanBuilder()
 	for _, c := range s.Classes {
-		if p.classes[c.Name] != nil {
-			return nil, bad("class %q is set twice", c.Name)
-		} else if err := c.validate(); err != nil {
+		if err := b.AddClass(c); err != nil {
 			return nil, err
 		}
-		p.classes[c.Name] = &Terms{Class: c}
-		p.safest, p.shortest, p.longest = min(p.safest, c.Repeat), min(p.shortest, c.Aim), max(p.longest, c.Deadline)
-		if c.Worth > 0 {
-			least = min(least, c.Worth)
-		}
-		step()
-	}
-	for _, c := range s.Classes {
-		p.classes[c.Name].stake = stake(c.Worth, least)
 		step()
 	}
 	for _, t := range s.Tenants {
-		if _, twice := p.tenants[t.Name]; twice || !amount(t.Quota) {
-			return nil, bad("tenant %q is set twice or has a Quota that is negative or not finite", t.Name)
+		if err := b.AddTenant(t); err != nil {
+			return nil, err
 		}
-		p.tenants[t.Name] = t.Quota
 		step()
 	}
-	return p, nil
+	return b.Plan(s)
+}
+
+// PlanBuilder makes a plan of classes and tenants that come one by one: large allocations take long at a stretch.
+type PlanBuilder struct{ p *Plan }
+
+// NewPlanBuilder returns a PlanBuilder of a plan without classes and tenants.
+func NewPlanBuilder() *PlanBuilder {
+	return &PlanBuilder{&Plan{classes: map[string]*Class{}, tenants: map[string]float64{}, least: math.Inf(1), safest: Unsafe,
+		shortest: math.MaxInt64}}
+}
+
+// AddClass adds a class, or returns an error that names it.
+func (b *PlanBuilder) AddClass(c Class) error {
+	p := b.p
+	if p.classes[c.Name] != nil {
+		return bad("class %q is set twice", c.Name)
+	} else if err := c.validate(); err != nil {
+		return err
+	}
+	p.classes[c.Name] = &c
+	p.safest, p.shortest, p.longest = min(p.safest, c.Repeat), min(p.shortest, c.Aim), max(p.longest, c.Deadline)
+	if c.Worth > 0 {
+		p.least = min(p.least, c.Worth)
+	}
+	return nil
+}
+
+// AddTenant adds a tenant, or returns an error that names it.
+func (b *PlanBuilder) AddTenant(t Tenant) error {
+	if _, twice := b.p.tenants[t.Name]; twice || !amount(t.Quota) {
+		return bad("tenant %q is set twice or has a Quota that is negative or not finite", t.Name)
+	}
+	b.p.tenants[t.Name] = t.Quota
+	return nil
+}
+
+// Plan returns the plan, with the other settings of s, or an error that names the one that is wrong. The builder must not be
+// used any more.
+func (b *PlanBuilder) Plan(s Settings) (*Plan, error) {
+	if len(b.p.classes) == 0 {
+		return nil, bad("Classes is missing or out of range")
+	} else if err := s.validate(); err != nil {
+		return nil, err
+	}
+	b.p.s = s
+	b.p.s.Classes, b.p.s.Tenants = nil, nil
+	return b.p, nil
 }
 
 // Settings returns what the plan was made of but for the classes and tenants.
 func (p *Plan) Settings() Settings { return p.s }
 
-// Terms returns the terms of a class; nil: it is none.
-func (p *Plan) Terms(class string) *Terms { return p.classes[class] }
+// Class returns a class, which is not to be changed; nil: there is none of that name.
+func (p *Plan) Class(name string) *Class { return p.classes[name] }
 
 // Longest returns the longest deadline of a class.
 func (p *Plan) Longest() time.Duration { return p.longest }
@@ -92,10 +123,10 @@
 	if p == old {
 		return c
 	}
-	for name, t := range p.classes {
+	for name, class := range p.classes {
 		if was := old.classes[name]; was == nil {
 			c.Classes.Added++
-		} else if was.Class != t.Class {
+		} else if *was != *class {
 			c.Classes.Changed++
 		}
 		step()
@@ -131,7 +162,6 @@
 		name string
 		ok   bool
 	}{
-		{"Classes", len(s.Classes) > 0},
 		{"Balancers", s.Balancers >= 1},
 		{"Rank", s.Rank >= 0 && s.Rank < max(s.Balancers, 1)},
 		{"OverShareWorth", amount(s.OverShareWorth)},
--- a/state.go
+++ b/state.go
@@ -9,12 +9,6 @@
 
 // The types that the decisions in balancer.go keep, and what is decided over quotas, budgets and changed settings.
 
-// Terms are what the settings say of a class. They never change.
-type Terms struct {
-	Class
-	stake float64 // what the cheapest class is worth set against it
-}
-
 // tenant counts one customer's requests against this balancer's part of its quota.
 type tenant struct{ level, at float64 }
 
@@ -38,10 +32,10 @@
 	votes  int
 }
 
-// stake sets what the cheapest class, of those that are worth anything, is worth against one of a worth: at most 1.
-func stake(worth, least float64) float64 {
-	if least < worth {
-		return least / worth
+// stake sets what the cheapest class is worth, of those that are worth anything, against one of a worth: at most 1.
+func (p *Plan) stake(worth float64) float64 {
+	if p.least < worth {
+		return p.least / worth
 	}
 	return 1
 }
@@ -57,7 +51,7 @@
 
 // class is a class as a request met it: the terms that held, and what is learnt of it.
 type class struct {
-	*Terms
+	*Class
 	*habits
 }
 
@@ -178,6 +172,9 @@
 	b.tick = max(p.s.Granularity, p.shortest/ticksPerAim, time.Millisecond)
 }
 
+// Plan returns the plan in force.
+func (b *Balancer) Plan() *Plan { return b.plan }
+
 // Reconfigure goes by another plan from now on; c is what that changes, for what is gone to be forgotten. What has been
 // taken keeps its terms, and what has been learnt stays. The work does not grow with what the plan holds.
 func (b *Balancer) Reconfigure(now time.Duration, p *Plan, c Change) {
@@ -215,16 +212,16 @@
 }
 
 // class is a class as it stands, by the terms given, or else those in force.
-func (b *Balancer) class(name string, t *Terms) class {
-	if t == nil {
-		t = b.plan.classes[name]
+func (b *Balancer) class(name string, terms *Class) class {
+	if terms == nil {
+		terms = b.plan.classes[name]
 	}
 	h := b.classes[name]
 	if h == nil {
 		h = &habits{}
 		b.classes[name] = h
 	}
-	return class{t, h}
+	return class{terms, h}
 }
 
 // rate is this balancer's part of a tenant's quota, a second: no less than an even one.
