--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -262,7 +262,7 @@
 		inForce, inFile any
 	}{
 		{"name", r.start.Name, c.Name}, {"listen", r.start.Listen, c.Listen}, {"operator", r.start.Operator, c.Operator},
-		{"seed", r.start.Seed, c.Seed}, {"limits.memory_mb", r.start.MemoryMB, c.MemoryMB},
+		{"seed", fmt.Sprintf("%x", r.start.Seed), fmt.Sprintf("%x", c.Seed)}, {"limits.memory_mb", r.start.MemoryMB, c.MemoryMB},
 		{"limits.sockets", r.start.Sockets, c.Sockets},
 	} {
 		if x.inForce != x.inFile {
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -76,7 +76,7 @@
 	}
 	for i := 0; d.More(); i++ {
 		if err := entry(i); err != nil {
-			return err
+			return fmt.Errorf("entry %d: %w", i, err)
 		}
 		d.step()
 	}
@@ -91,7 +91,7 @@
 		if strings.EqualFold(fields.Field(i).Tag.Get("json"), key) {
 			var value json.RawMessage
 			if err := d.Decode(&value); err != nil {
-				return whole(err)
+				return fmt.Errorf("%s: %w", key, whole(err))
 			}
 			name, err := json.Marshal(key)
 			if err != nil {
