--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
@@ -11,10 +12,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,6 +25,7 @@
 	"testing"
 	"testing/synctest"
 	"time"
+	"unsafe"
 
 	"clayladder"
 	"clayladder/internal/wire"
@@ -813,34 +817,78 @@
 	return configWith(t, "127.0.0.1:8500", nil, `"profiles":[`, b.String()+`],"profiles":[`+profiles)
 }
 
-// processorTime is what the process has worked so far.
-func processorTime(t testing.TB) time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		t.Fatal(err)
+// echoOf names, to a process that a benchmark starts, the address at which it asks for echoes; ownerOf the process there.
+const echoOf, ownerOf = "RELOAD_ECHO_OF", "RELOAD_ECHO_OWNER"
+
+func TestMain(m *testing.M) {
+	if address := os.Getenv(echoOf); address != "" {
+		if err := askForEchoes(address, os.Getenv(ownerOf)); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
 	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	os.Exit(m.Run())
+}
+
+// echoes are the times until an echo came, and what its process worked meanwhile, in ns, by what the echo said.
+type echoes map[string]struct{ Late, Work []time.Duration }
+
+// askForEchoes asks every 0.3 ms, until the connection is closed, and writes the echoes to standard output.
+func askForEchoes(address, owner string) error {
+	pid, err := strconv.Atoi(owner)
+	if err != nil {
+		return err
+	}
+	worked := func() time.Duration { // the processor time of the other process, whose clock has this number
+		var ts syscall.Timespec
+		if _, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, uintptr(^pid<<3|2), uintptr(unsafe.Pointer(&ts)), 0); errno != 0 {
+			err = errno
+		}
+		return time.Duration(ts.Nano())
+	}
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	all := echoes{}
+	for b := []byte{0}; ; time.Sleep(300 * time.Microsecond) {
+		work, begin := worked(), time.Now()
+		if _, err := c.Write(b); err != nil {
+			break
+		}
+		if _, err := c.Read(b); err != nil {
+			break
+		}
+		x := all[string(b)]
+		x.Late, x.Work = append(x.Late, time.Since(begin)), append(x.Work, worked()-work)
+		all[string(b)] = x
+	}
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(all)
 }
 
 // BenchmarkReload tells, at the size of the fleet to come and with one processor as in service, how long a reload takes from
-// its signal, the processor time it takes beside an idle loop, and for how long it holds up a goroutine that wakes
-// every 100 µs and asks the loop for a turn.
+// its signal and how much processor time, and for how long it holds up an echo that a client gets from the loop: by the
+// clock, which a busy machine moves, and by the process's own work until the echo, which is what can hold it up.
 func BenchmarkReload(b *testing.B) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
-	gc := 400
-	if os.Getenv("NOGC") != "" {
-		gc = -1
-	}
-	defer debug.SetGCPercent(debug.SetGCPercent(gc))
+	defer debug.SetGCPercent(debug.SetGCPercent(400))
+	log := slog.Default()
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	defer slog.SetDefault(log)
 	for _, size := range [][2]int{{17000, 72000}, {1700, 7200}} {
 		b.Run(fmt.Sprint(size[0], "+", size[1]), func(b *testing.B) {
 			path := filepath.Join(b.TempDir(), "config.json")
-			write := func(quota float64) {
-				if err := os.WriteFile(path, []byte(large(b, size[0], size[1], quota)), 0o600); err != nil {
+			text := large(b, size[0], size[1], 1000)
+			write := func(quota int) {
+				if err := os.WriteFile(path, []byte(strings.Replace(text, `_rps":1000,`, fmt.Sprintf(`_rps":%d,`, quota), 1)), 0o600); err != nil {
 					b.Fatal(err)
 				}
 			}
-			write(1)
+			write(1000)
 			getenv := func(name string) string { return map[string]string{"RELAY_CONFIG": path}[name] }
 			c, err := LoadConfig(getenv)
 			if err != nil {
@@ -853,7 +901,6 @@
 			hangups, reloads, inForce := make(chan os.Signal, 1), make(chan Reload), make(chan time.Duration, 1)
 			c.SettingsInForce = func(_ string, took time.Duration) { inForce <- took }
 			r := NewReloader(getenv, c)
-			r.log = slog.New(slog.DiscardHandler)
 			c = Config{}
 			go r.Follow(b.Context(), hangups, reloads)
 			go func() {
@@ -866,50 +913,73 @@
 					}
 				}
 			}()
-			// held is for how long turns were late, by the clock, and what the process worked until each: that is what held
-			// it up, and a busy machine moves it less.
-			type held struct{ late, work []time.Duration }
-			turns := func(h *held, until func() bool) {
-				for !until() {
-					begin, work := time.Now(), processorTime(b)
-					time.Sleep(100 * time.Microsecond)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer listener.Close()
+			var phase atomic.Uint32
+			end := make(chan struct{})
+			go func() {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				for p := make([]byte, 1); ; {
+					if _, err := c.Read(p); err != nil {
+						return
+					}
 					t := make(turn)
 					l.post(t)
 					<-t
-					h.late = append(h.late, time.Since(begin)-100*time.Microsecond)
-					h.work = append(h.work, processorTime(b)-work)
+					select {
+					case <-end:
+						return
+					default:
+					}
+					p[0] = byte('0' + phase.Load())
+					c.Write(p)
 				}
+			}()
+			client := exec.Command(os.Args[0])
+			client.Env = append(os.Environ(), echoOf+"="+listener.Addr().String(), fmt.Sprint(ownerOf, "=", os.Getpid()))
+			var said bytes.Buffer
+			client.Stdout, client.Stderr = &said, os.Stderr
+			if err := client.Start(); err != nil {
+				b.Fatal(err)
 			}
-			var idle, busy held
-			end := time.Now().Add(time.Second)
-			turns(&idle, func() bool { return time.Now().After(end) })
+			time.Sleep(500 * time.Millisecond)
 			var took, work time.Duration
 			for i := range b.N {
-				write(float64(i + 2))
-				runtime.GC() // what the test has made is not the reload's
-				hangups <- nil
-				var last time.Duration
+				phase.Store(0)
+				write(1001 + i)
+				time.Sleep(100 * time.Millisecond)
 				begin := processorTime(b)
-				turns(&busy, func() bool {
-					select {
-					case last = <-inForce:
-						return true
-					default:
-						return false
-					}
-				})
-				took, work = took+last, work+processorTime(b)-begin
+				phase.Store(1)
+				hangups <- syscall.SIGHUP
+				took += <-inForce
+				work += processorTime(b) - begin
+			}
+			close(end)
+			if err := client.Wait(); err != nil {
+				b.Fatal(err)
+			}
+			var all echoes
+			if err := json.Unmarshal(said.Bytes(), &all); err != nil {
+				b.Fatal(err)
 			}
-			var m runtime.MemStats
-			runtime.ReadMemStats(&m)
 			b.ReportMetric(float64(took.Milliseconds())/float64(b.N), "ms-to-force")
 			b.ReportMetric(float64(work.Milliseconds())/float64(b.N), "ms-processor")
-			for name, xs := range map[string][]time.Duration{"late": busy.late, "work": busy.work, "idle-late": idle.late,
-				"idle-work": idle.work} {
-				slices.Sort(xs)
-				b.ReportMetric(float64(xs[len(xs)-1].Microseconds()), "µs-"+name+"-worst")
-				b.ReportMetric(float64(xs[len(xs)*99/100].Microseconds()), "µs-"+name+"-p99")
+			for what, x := range map[string][]time.Duration{"late": all["1"].Late, "work": all["1"].Work, "idle-late": all["0"].Late,
+				"idle-work": all["0"].Work} {
+				slices.Sort(x)
+				b.ReportMetric(float64(x[len(x)-1].Microseconds()), "µs-"+what+"-worst")
+				b.ReportMetric(float64(x[len(x)*99/100].Microseconds()), "µs-"+what+"-p99")
 			}
+			b.ReportMetric(float64(len(all["1"].Late)), "echoes")
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
 			b.ReportMetric(float64(m.HeapSys>>20), "MB-heap-sys")
 			runtime.GC()
 			runtime.ReadMemStats(&m)
@@ -917,3 +987,12 @@
 		})
 	}
 }
+
+// processorTime is what the process has worked so far.
+func processorTime(t testing.TB) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
