--- a/internal/scale/inprocess.go
+++ b/internal/scale/inprocess.go
@@ -126,7 +126,7 @@
 	{"reload: Reconfigure, on the loop", "us", "sixteenths of the fleet ahead", cheapest + "; two of them, one class and one tenant changed to and fro", sixteenths,
 		reconfigureCost},
 	{"reload: memory of the Balancer with the old plan and the new one", "MB", "sixteenths of the fleet ahead", leastLive, sixteenths, twoPlans},
-	{"quota: taken for over it, requests through all of n balancers", "%", "balancers", quotaNote, []int{3, 30, 135, 950},
+	{"quota: taken for over it, requests through all of n balancers", "%", "balancers", quotaNote, []int{1, 3, 14, 30, 135, 950},
 		func(n int) (float64, error) { return quotaShare(n, n, quotaFor) }},
 	{"quota: taken for over it, requests through n of 950 balancers", "%", "balancers used", quotaNote, []int{8, 30, 135, 950},
 		func(n int) (float64, error) { return quotaShare(Balancers, n, quotaFor) }},
