--- a/internal/scale/inprocess.go
+++ b/internal/scale/inprocess.go
@@ -4,10 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -94,8 +97,8 @@
 	{"tick: the module between steps, at rest", "ms", "upstreams", cheapest, upstreamSizes, tick},
 	{"change: one upstream drains or is up again", "ms", "upstreams", cheapest + "; the module alone, not the loop", upstreamSizes, change},
 	{"whole list: applied by the module, nothing changed", "ms", "upstreams", cheapest, upstreamSizes, wholeList},
-	{"whole list: decoded", "ms", "upstreams", cheapest + "; LoadConfig of a file that holds it, less one without: the client's" +
-		" types and checks, without its sort", upstreamSizes, listDecode},
+	{"whole list: decoded", "ms", "upstreams", cheapest + "; entries of the client's shape, checked and sorted as it does", upstreamSizes,
+		listDecode},
 	{"whole list: size", "KB", "upstreams", "as discovery would write it, not indented", upstreamSizes, listSize},
 	{"request: taken, sent and answered", "us", "upstreams", cheapest + "; the module alone", upstreamSizes, requestCost},
 	{"New", "ms", "classes", cheapest, classSizes, func(n int) (float64, error) { return newCost(n, heldTenants) }},
@@ -370,14 +373,39 @@
 	})), nil
 }
 
-// listDecode is what the reading of a whole list costs, by the difference that it makes to a configuration.
+// listDecode is what the reading of a whole list costs: the decoding, the look at each address and the order that the
+// discovery client gives it, over entries of the same shape. The client's own are not to be had from outside.
 func listDecode(upstreams int) (float64, error) {
-	with, err := loadCost(heldClasses, heldTenants, upstreams)
+	text, err := json.Marshal(listText(upstreams))
 	if err != nil {
 		return 0, err
 	}
-	without, err := loadCost(heldClasses, heldTenants, 0)
-	return with - without, err
+	type entry struct {
+		ID        string  `json:"id"`
+		HostPort  string  `json:"host_port"`
+		Locality  string  `json:"locality"`
+		Cell      int     `json:"cell"`
+		Phase     string  `json:"phase"`
+		Size      float64 `json:"size"`
+		UpSinceMS int64   `json:"up_since_ms"`
+	}
+	each := cost(func() {
+		var l struct {
+			Revision uint64  `json:"revision"`
+			Complete bool    `json:"complete"`
+			Members  []entry `json:"members"`
+		}
+		if e := json.Unmarshal(text, &l); e != nil {
+			err = e
+		}
+		for _, m := range l.Members {
+			if _, e := netip.ParseAddrPort(m.HostPort); e != nil {
+				err = e
+			}
+		}
+		slices.SortFunc(l.Members, func(a, b entry) int { return strings.Compare(a.ID, b.ID) })
+	})
+	return inMS(each), err
 }
 
 func listSize(upstreams int) (float64, error) {
