--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -26,6 +26,7 @@
 	role := pflag.String("role", "", "what this process is in a run: discovery or hollow; the run itself starts these")
 	json := pflag.String("json", "", "file for the results as JSON")
 	pflag.StringSliceVar(&o.Slopes, "slope", nil, "slopes to take: all, "+strings.Join(slopes, ", "))
+	pflag.BoolVar(&o.Within, "in-process", false, "slopes of one process, by calls; some three minutes")
 	pflag.StringSliceVar(&o.Scenes, "scene", nil, "scenes to play: all, "+strings.Join(scenes, ", "))
 	pflag.IntVar(&o.Size.Hollow, "balancers", 0, "hollow balancers in scenes and where slopes do not vary them (0: 24 in scenes)")
 	pflag.IntVar(&o.Size.Balancers, "fleet", 0, "balancers that the settings name (0: 950)")
@@ -46,7 +47,7 @@
 	if *role != "" {
 		return scale.ServeRole(*role)
 	}
-	if len(o.Slopes)+len(o.Scenes) == 0 {
+	if len(o.Slopes)+len(o.Scenes) == 0 && !o.Within {
 		o.Slopes, o.Scenes = []string{"all"}, []string{"settings", "zone", "restart"}
 	}
 	r, err := scale.Start(o)
--- a/internal/scale/inprocess.go
+++ b/internal/scale/inprocess.go
@@ -50,15 +50,25 @@
 // eighths are five sizes, each twice the one before, up to most.
 func eighths(most int) []int { return []int{most / 16, most / 8, most / 4, most / 2, most} }
 
-// InProcessSlopes measures all slopes of this file, one after another, in some three minutes. It tells progress, if that
-// is not nil, which one comes. A slope that could not be measured has no points, and its Note says why.
-func InProcessSlopes(progress func(string)) []Slope {
+// inProcessRuns is how often a run takes all of these slopes.
+const inProcessRuns = 3
+
+// InProcessSlopes measures all slopes of this file so many times, one after another, a run in less than a minute, and
+// takes the least figure of each point: others use the machine too. It tells progress, if that is not nil, which one
+// comes. A slope that could not be measured has no points, and its Note says why.
+func InProcessSlopes(runs int, progress func(string)) []Slope {
 	var slopes []Slope
-	for _, m := range inProcess {
-		if progress != nil {
-			progress(m.name)
+	for run := range runs {
+		for i, m := range inProcess {
+			if progress != nil {
+				progress(fmt.Sprintf("run %d of %d: %s, over %s", run+1, runs, m.name, m.varied))
+			}
+			if s := m.slope(); run == 0 {
+				slopes = append(slopes, s)
+			} else {
+				slopes[i] = slopes[i].least(s)
+			}
 		}
-		slopes = append(slopes, m.slope())
 	}
 	return slopes
 }
--- a/internal/scale/inprocess_test.go
+++ b/internal/scale/inprocess_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -51,6 +52,21 @@
 	}
 }
 
+func TestLeastOfTwoRuns(t *testing.T) {
+	x := []float64{1, 2, 4, 8}
+	one, two := NewSlope("a", "ms", "n", x, []float64{10, 21, 40, 95}), NewSlope("a", "ms", "n", x, []float64{12, 20, 44, 80})
+	one.Note = "held"
+	if s := one.least(two); !slices.Equal(s.Y, []float64{10, 20, 40, 80}) || s.Fit != FitPoints(x, s.Y) || s.Note != "held" || one.Y[1] != 21 {
+		t.Errorf("%+v", s)
+	}
+	none := Slope{Name: "a", Note: "not run: no room"}
+	for _, s := range []Slope{one.least(none), none.least(one)} {
+		if len(s.X)+len(s.Y) > 0 || s.Fit != (Fit{}) || s.Note != none.Note {
+			t.Errorf("%+v", s)
+		}
+	}
+}
+
 // What is measured is what it is said to be: the configuration holds so many of each, and they arrive.
 func TestConfigHoldsWhatIsVaried(t *testing.T) {
 	getenv, remove, err := configFile(5, 7, 11)
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -16,6 +16,7 @@
 // Table writes the tables.
 func (r *Run) Table(w io.Writer) {
 	fmt.Fprintf(w, "\nscale run of %s, commit %s, %s, %d cores used, %.0f s, at most %d MB\n", r.Began, r.Commit, r.Go, r.processors, r.Seconds, r.MemoryMB)
+	inProcessTable(w, r.InProcess)
 	for _, s := range r.Slopes {
 		s.table(w)
 	}
@@ -27,6 +28,23 @@
 	}
 }
 
+// inProcessTable writes the slopes of one process; nothing where there are none.
+func inProcessTable(w io.Writer, slopes []Slope) {
+	if len(slopes) == 0 {
+		return
+	}
+	fmt.Fprintf(w, "\nin one process, by calls; the least of %d runs at each point\n", inProcessRuns)
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	defer t.Flush()
+	for _, s := range slopes {
+		fmt.Fprintf(t, "%s\t%s\t", s.Name, s.Unit)
+		for i := range s.X {
+			fmt.Fprintf(t, "%.5g: %.4g\t", s.X[i], s.Y[i])
+		}
+		fmt.Fprintf(t, "%s\t%v\t%s\t\n", s.Varied, s.Fit, s.Note)
+	}
+}
+
 func (x *Varied) table(w io.Writer) {
 	fmt.Fprintf(w, "\nslope %s; figures are for one hollow balancer where nothing else is said\n", x.Name)
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -20,6 +20,7 @@
 type Options struct {
 	Slopes  []string // names, or "all"
 	Scenes  []string
+	Within  bool          // the slopes of one process, by calls
 	Size    Size          // zero figures: the base's
 	For     time.Duration // a phase of a slope, or a scene's play
 	Every   time.Duration // from one change of the settings to the next, in the first scene
@@ -149,6 +150,9 @@
 	if r.options.Before != "" {
 		r.programs, r.names = append(r.programs, r.options.Before), append(r.names, "the program before")
 	}
+	if r.options.Within {
+		r.InProcess = InProcessSlopes(inProcessRuns, func(name string) { r.progress("%s", name) })
+	}
 	var failed []error
 	for _, v := range variations {
 		if !slices.Contains(r.options.Slopes, v.name) {
--- a/internal/scale/slope.go
+++ b/internal/scale/slope.go
@@ -16,3 +16,21 @@
 func NewSlope(name, unit, varied string, x, y []float64) Slope {
 	return Slope{Name: name, Unit: unit, Varied: varied, X: x, Y: y, Fit: FitPoints(x, y)}
 }
+
+// least is s with the lesser figure of two runs at each point. A run that was not measured leaves the slope unmeasured.
+func (s Slope) least(again Slope) Slope {
+	if len(s.Y) == 0 || len(again.Y) != len(s.Y) {
+		again.Y, again.X, again.Fit = nil, nil, Fit{}
+		if len(s.Y) == 0 {
+			again.Note = s.Note
+		}
+		return again
+	}
+	y := make([]float64, len(s.Y))
+	for i := range y {
+		y[i] = min(s.Y[i], again.Y[i])
+	}
+	least := NewSlope(s.Name, s.Unit, s.Varied, s.X, y)
+	least.Note = s.Note
+	return least
+}
