--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -66,6 +66,10 @@
 		fmt.Fprintf(t, "%v\t\n", s.Fit)
 	}
 	for _, p := range x.Points {
+		for _, b := range p.Bursts {
+			fmt.Fprintf(t, "at %.5g, %s: %.4g ms of a core and %.4g KB for a balancer, in force p99 %.0f ms, last %.0f, missing %d\t\n", p.X, b.Name,
+				b.CPU, b.In, b.InForce.P99, b.InForce.Last, b.InForce.Missing)
+		}
 		if p.InForce.Missing > 0 {
 			fmt.Fprintf(t, "at %.5g: %d changes not in force in time\t\n", p.X, p.InForce.Missing)
 		}
--- a/internal/scale/vary.go
+++ b/internal/scale/vary.go
@@ -25,6 +25,7 @@
 	size    func(base Size, x float64) Size
 	changes func(x float64) float64 // a second
 	reloads bool                    // settings are changed as well
+	burst   bool                    // at the last point a zone is lost and comes back as well
 }
 
 // baseSize is what is held where nothing else is said.
@@ -47,7 +48,7 @@
 	{name: "classes", varied: "classes", x: []float64{Classes / 8, Classes / 4, Classes / 2, Classes}, changes: held(2), reloads: true,
 		size: func(s Size, x float64) Size { s.Classes, s.Hollow = int(x), 8; return s }},
 	{name: "changes", varied: "changes a second", x: []float64{releaseRate / 8, releaseRate / 4, releaseRate / 2, releaseRate},
-		size: func(s Size, _ float64) Size { s.Upstreams, s.Hollow = Upstreams, 8; return s }, changes: func(x float64) float64 { return x }},
+		size: func(s Size, _ float64) Size { s.Upstreams, s.Hollow = Upstreams, 8; return s }, changes: func(x float64) float64 { return x }, burst: true},
 }
 
 // Point is what was measured at one point of a slope.
@@ -63,9 +64,18 @@
 	// Reloads are the settings' changes. ReloadCPU is a hollow balancer's processor time for one, over what it spends at rest.
 	Reloads   []Reload `json:"reloads,omitempty"`
 	ReloadCPU float64  `json:"reload_cpu_ms"`
+	Bursts    []Burst  `json:"bursts,omitempty"`
 	Loaded    bool     `json:"loaded"` // the processors were the bound: times are too long
 }
 
+// Burst is many upstreams that change at once, in one revision.
+type Burst struct {
+	Name    string  `json:"name"`
+	CPU     float64 `json:"cpu_ms"` // of a hollow balancer, over what it spends at rest
+	In      float64 `json:"in_kb"`  // to one balancer, with heads
+	InForce InForce `json:"in_force"`
+}
+
 // Varied is a slope's points, and the slopes of each figure over them.
 type Varied struct {
 	Name   string  `json:"name"`
@@ -123,12 +133,49 @@
 	}
 	busy := func(s Spent) float64 { return s.HollowBusy + s.Discovery/1e6 + s.Driver + s.Others }
 	p.Loaded = max(busy(p.Rest), busy(p.Busy)) > busyMost*float64(r.processors)
+	if v.burst && x == v.x[len(v.x)-1] {
+		for _, b := range []struct{ name, method string }{{"a zone lost", "Discovery.Lose"}, {"the zone back, cold", "Discovery.Regain"}} {
+			if err := r.burst(f, &p, b.name, b.method); err != nil {
+				return p, err
+			}
+		}
+	}
 	if !v.reloads {
 		return p, r.failure()
 	}
 	return p, r.reloads(f, &p)
 }
 
+// burst measures what a zone costs that goes or comes back at once.
+func (r *Run) burst(f *fleet, p *Point, name, method string) error {
+	if err := f.settle(); err != nil {
+		return err
+	}
+	a, err := f.read(false)
+	if err != nil {
+		return err
+	}
+	var made Made
+	if err := f.discovery.call(method, Zone{Name: zoneName(lostZone)}, &made); err != nil {
+		return err
+	}
+	b := Burst{Name: name}
+	if b.InForce, err = f.inForce([]Made{made}, inForceMost); err != nil {
+		return err
+	}
+	if err := f.settle(); err != nil {
+		return err
+	}
+	c, err := f.read(false)
+	if err != nil {
+		return err
+	}
+	s := f.spent(a, c)
+	b.CPU, b.In = (s.HollowCPU-p.Rest.HollowCPU)*s.Seconds/1000, s.In*s.Seconds/1000
+	p.Bursts = append(p.Bursts, b)
+	return r.failure()
+}
+
 // reloads changes the settings some times and measures what each costs.
 func (r *Run) reloads(f *fleet, p *Point) error {
 	for range reloadsPerPoint {
