--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -6,11 +6,13 @@
 	"io"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"runtime"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -110,6 +112,16 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	go r.kids.watch(stop, r.giveUp)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	go func() {
+		select {
+		case s := <-signals:
+			r.giveUp(fmt.Errorf("a signal: %v", s))
+		case <-stop:
+		}
+	}()
 	err = r.all()
 	r.Seconds = time.Since(r.began).Seconds()
 	r.kids.memory()
