--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// filePieces are a file, to be read one after another: a buffer of its whole size would be allocated, and paid for to the collector, at
-// a stretch.
+// filePieces are a file, to be read one after another: a buffer of its whole size would be allocated, and paid for to the
+// collector, at a stretch.
 type filePieces [][]byte
 
 // Read implements io.Reader.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -104,10 +104,9 @@
 
 // Settings reads the settings object of a start message or of a real balancer's configuration, but for the classes and
 // tenants: it hands these over as they come. An error names the setting.
-func (d *Decoder) Settings(class func(clayladder.Class) error, tenant func(clayladder.Tenant) error) (clayladder.Settings, Links, error) {
+func (d *Decoder) Settings(class func(clayladder.Class) error, tenant func(clayladder.Tenant) error) (s clayladder.Settings,
+	links Links, err error) {
 	var p params
-	var s clayladder.Settings
-	var links Links
 	seen := map[string]bool{}
 	if err := d.Object(func(key string) error {
 		list := strings.ToLower(key)
