Leave out upstreams that turn all away while the list may be out of date

Cause: a balancer whose call of discovery has failed, or that has just started, went on giving turns to an upstream however many requests that had turned away. A full queue was the only meaning of such an answer, so each cost it some of its bound, and never its last turn. The drain counts as notified 6 s after discovery had it, whether or not discovery has got round to telling: a call of each balancer costs it 4 to 6 s in all, more than one with the restarts of 70 in 100. In the logs of each late send follows 5 to 15 in a row that the same upstream had turned away (n42: eleven, n55: seven). Ruled out: lists that came and were not obeyed (none of the senders had a list since its start); the HTTP client's own repeats (each call in the logs has one connection, and a restarted process has no kept one).

Now two such answers in a row while the list is in doubt leave the upstream out for 12 s or until the list is heard, and it is replaced on the ring only where fewer than two are left. Where all turn all away all are used, as before: while discovery can't be reached at all, service goes on. With a list that is heard nothing changes.

--- a/balancer.go
+++ b/balancer.go
@@ -55,6 +55,8 @@
 	toldWithin            = 6 * time.Second       // what a failed call missed counts as told by then
 	callSpare             = time.Second           // of that, for the call that brings it
 	callMost              = 7 * time.Second / 2   // a call is given up by then: later ones waited for news
+	turnedAwayLimit       = 2                     // requests in a row
+	presumedDrainTime     = 2 * toldWithin
 	tickToken, watchToken = 1, 2
 )
 
@@ -290,6 +292,7 @@
 	if o.Status == OK || o.Status == Error || o.Status == Full {
 		b.answered(u, now)
 	}
+	b.countTurnedAway(u, o.Status, now)
 	switch o.Status {
 	case OK:
 		w := max(smoothing, 1-u.bound) // the rarer its answers, the more each one tells
@@ -593,6 +596,26 @@
 	}
 }
 
+// countTurnedAway counts the requests in a row that u has turned away. Some while the list may be out
+// of date tell that it drains: it is left out, and tried again after a while, as discovery may be down long.
+func (b *Balancer) countTurnedAway(u *upstream, status Status, now time.Duration) {
+	switch status {
+	case OK, Error:
+		u.turnedAway = 0
+	case Full:
+		u.turnedAway++
+		if b.listInDoubt && u.turnedAway >= turnedAwayLimit {
+			u.presumedUntil = now + presumedDrainTime
+			b.gather(now)
+		}
+	}
+}
+
+// presumedDraining tells that u is left out as one that drains, although the list does not say so.
+func (b *Balancer) presumedDraining(u *upstream, now time.Duration) bool {
+	return b.listInDoubt && now < u.presumedUntil
+}
+
 // answered notes a sign of life.
 func (b *Balancer) answered(u *upstream, now time.Duration) {
 	u.silent, u.answeredAt, u.wait = false, now, b.tick
@@ -665,6 +688,7 @@
 
 // Members takes what discovery says of the upstreams.
 func (b *Balancer) Members(now time.Duration, mode ListMode, list []Upstream) {
+	b.listInDoubt = mode != ListFull && mode != ListDelta
 	switch mode {
 	case ListStale: // at once: what it misses counts as told before turns drawn over all instances would be over
 		b.stale, b.watchWait = true, 0
@@ -746,18 +770,24 @@
 // gather chooses the upstreams that this balancer uses. Where balancers are many each upstream serves some of
 // them, or its connections run out and no balancer sees enough of it. All see the same ring of upstreams and
 // take a stretch from a place of their own; the golden ratio spreads these evenly for any run of ranks. Cold
-// and silent ones stay in the stretch, which then goes on to as many more.
+// and silent ones stay in the stretch, which then goes on to as many more. Those presumed to drain are passed
+// over, and replaced only where few are left: the next on the ring may drain as well.
 func (b *Balancer) gather(now time.Duration) {
 	ring := slices.DeleteFunc(slices.Clone(b.ups), func(u *upstream) bool { return !b.open(u) })
 	slices.SortFunc(ring, func(x, y *upstream) int { return cmp.Compare(x.place, y.place) })
+	allPresumed := !slices.ContainsFunc(ring, func(u *upstream) bool { return !b.presumedDraining(u, now) })
 	n, all := float64(len(ring)), float64(b.s.Balancers)
 	want := max(1, min(n, max(subsetLeast, math.Ceil(n*sharers/max(sharers, all-sharers)))))
 	even := max(n, 1) / want / all
 	b.start = boundStart * max(even, min(b.part, 1))
 	_, at := math.Modf(float64(b.s.Rank) * math.Phi)
-	good, chosen := 0.0, map[*upstream]bool{}
-	for i := 0; i < min(len(ring), int(2*want)) && good < want; i++ {
+	good, chosen, most, least := 0.0, map[*upstream]bool{}, int(2*want), min(want, subsetLeast)
+	for i := 0; i < len(ring) && len(chosen) < most && good < want; i++ {
 		u := ring[(int(at*n)+i)%len(ring)]
+		if b.presumedDraining(u, now) && !allPresumed {
+			want = max(want-1, least)
+			continue
+		}
 		if chosen[u] = true; !u.cold && !u.silent {
 			good++
 		}
--- a/drain_test.go
+++ b/drain_test.go
@@ -264,7 +264,8 @@
 
 // Callers saw requests go to upstreams that had been announced as draining 6.5 s and more before. It takes an outage of
 // discovery, a release of upstreams right behind it, and a restart of most balancers into that: a call of each balancer
-// then costs discovery 4 to 6 s in all, so some have no list in time.
+// then costs discovery 4 to 6 s in all, so some have no list in time. The logs of each call and send showed that every
+// late send was turned away, by an upstream that had turned away 5 to 15 requests of the same balancer in a row.
 func TestRestartedFleetSendsNothingLateToDrainingUpstreams(t *testing.T) {
 	for _, c := range []struct {
 		balancers int
@@ -281,3 +282,51 @@
 		})
 	}
 }
+
+// An upstream that turns all away is left out while the list is in doubt, and no longer; where all do, all are used.
+func TestUpstreamThatTurnsAllAwayIsLeftOutWhileTheListIsInDoubt(t *testing.T) {
+	turnAway := func(t *testing.T, doubt bool, draining int) (sent map[UpstreamID]int) {
+		h, sent := &recorder{}, map[UpstreamID]int{}
+		b, err := New(settings(), 1, 0, h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Members(0, ListFull, fleet(4))
+		if doubt {
+			b.Members(0, ListFailed, nil)
+		}
+		var out []Outcome
+		attempts := map[RequestID]int{}
+		h.hook = func(kind string, id RequestID, up UpstreamID, _ time.Duration, _ uint64) {
+			if kind != "send" {
+				return
+			}
+			sent[up]++
+			status := OK
+			if int(up) <= draining {
+				status = Full
+			}
+			out = append(out, Outcome{ID: id, Upstream: up, Attempt: attempts[id], Latency: ms, Status: status, Closed: status == OK})
+			attempts[id]++
+		}
+		for id := range RequestID(400) {
+			now := time.Duration(id) * 20 * ms
+			b.Request(now, Request{ID: id + 1, Class: "read", Budget: time.Second})
+			for len(out) > 0 {
+				o := out[0]
+				out = out[1:]
+				b.Outcome(now, o)
+			}
+		}
+		return sent
+	}
+	if sent := turnAway(t, true, 1); sent[1] > turnedAwayLimit {
+		t.Errorf("in doubt: %d sent to the one that turns all away", sent[1])
+	}
+	if sent := turnAway(t, false, 1); sent[1] <= turnedAwayLimit {
+		t.Errorf("list heard: %d sent to the one that turns all away", sent[1])
+	}
+	if sent := turnAway(t, true, 4); sent[1] <= turnedAwayLimit {
+		t.Errorf("in doubt, all turn all away: %d sent to the first", sent[1])
+	}
+}
--- a/state.go
+++ b/state.go
@@ -104,6 +104,8 @@
 	answeredAt, cutAt, probedAt time.Duration
 	freeAt                      time.Duration // its turns are skipped until then
 	backAt                      time.Duration // end of its maintenance
+	turnedAway                  int           // requests in a row
+	presumedUntil               time.Duration // end of its being left out as one that drains
 	wait                        time.Duration // growing wait between trials or failed connects
 	due                         float64       // its next turn, in turns of the whole fleet
 	weight, factor              float64       // size; share left after cuts
@@ -150,6 +152,7 @@
 	near                    []*upstream         // the subset, and what left it with attempts still out
 	off                     map[UpstreamID]bool // in maintenance, listed or not
 	stale                   bool                // the list may lack what soon counts as told
+	listInDoubt             bool                // it has not been heard since the start, or since a call failed
 	held                    []*request          // by worth, then newest first
 	turn                    float64             // virtual time of the interleave
 	lat, cost               float64             // usual latency, mean cost hint
