Answer a faulty body with its fault, not with the refusal that follows from it

Callers with a body over 32 MB in chunks saw 503, "busy, trying again is harmless", where 413 is the answer; the same can befall any fault of a body over 64 KiB (408, 400).

Cause: the reader of a body ends the upload's pipe and then tells its error. The attempt breaks off at the first, the module refuses the request as what was sent of it can't be sent again, and the front takes whichever is there, one at random where both are. On a machine with idle cores the error wins, as the other way goes over three goroutines more.

Now the fault is kept with the upload before the pipe ends, and goes before any answer but a served one. The test forces the crossings; its first three cases fail without the mend. Ruled out: a limit of time (408 and 504 are its answers), a body that is not read on (none of it was with the upstream).

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -389,21 +389,12 @@
 	q.Budget = f.budget(q.Budget)
 	w := f.watch(c, q)
 	f.post(arrived{q})
-	var a answer
-	select {
-	case a = <-q.reply:
-	case err := <-w.ended:
-		if !errors.Is(err, errUnread) { // the client has gone, or what it sends is no request
-			q.gone.Store(true)
-			f.post(left{q})
-			if err == nil {
-				err = errAhead
-			}
-			f.turnAway(c, err)
-			return false
-		}
-		w.ended <- err
-		a = <-q.reply
+	a, err := w.await()
+	if err != nil { // the client has gone, or what it sends is no request
+		q.gone.Store(true)
+		f.post(left{q})
+		f.turnAway(c, err)
+		return false
 	}
 	closing := last() || a.status == http.StatusConflict
 	if a.relay != nil {
@@ -454,6 +445,27 @@
 	return w
 }
 
+// await waits for the answer, or for the client to go or to send what is no request, which is the error.
+func (w *watcher) await() (answer, error) {
+	select {
+	case a := <-w.q.reply:
+		// A fault of the body ends its attempt too. The module's answer to that may be here first, and would tell the
+		// client that another try is harmless.
+		if fault := w.q.message.rest.fault(); fault != nil && a.status != http.StatusOK {
+			return answer{}, fault
+		}
+		return a, nil
+	case err := <-w.ended:
+		if err == nil {
+			return answer{}, errAhead
+		} else if !errors.Is(err, errUnread) {
+			return answer{}, err
+		}
+		w.ended <- err
+		return <-w.q.reply, nil
+	}
+}
+
 // stop ends the watch and tells whether the request has come whole, with nothing behind it that was looked for.
 func (w *watcher) stop() bool {
 	rest := w.q.message.rest
@@ -489,7 +501,7 @@
 			rest.out.Close()
 			return nil
 		} else if err != nil {
-			rest.out.CloseWithError(err)
+			rest.fail(err)
 			return err
 		}
 	}
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -359,6 +359,24 @@
 	client net.Conn
 	taken  atomic.Bool // an attempt has begun to read it: no other one can
 	came   bool        // the client's side: its last byte has come
+	failed atomic.Pointer[error]
+}
+
+// fail ends the body for the attempt that reads it, by a fault of the client's.
+func (u *upload) fail(err error) {
+	u.failed.Store(&err)
+	u.out.CloseWithError(err)
+}
+
+// fault returns the fault of the client's that has ended the body; nil: none, as with nothing to upload.
+func (u *upload) fault() error {
+	if u == nil {
+		return nil
+	}
+	if err := u.failed.Load(); err != nil {
+		return *err
+	}
+	return nil
 }
 
 // errUnread is what the client's side gets when nobody wants the rest of a body.
--- /dev/null
+++ b/internal/proxy/over_test.go
@@ -0,0 +1,41 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+)
+
+// An upload over the bound in chunks ends its attempt, and the module refuses the request then. The client is owed the answer
+// that says what is wrong, 413. On busy machines callers saw 503, which says that another try is harmless: the refusal can
+// be there before the reader of the body has told its error, and of both the front took one at random.
+// TestBodyOverTheBoundInChunks failed so in a run of CI on four cores, 1.58 s after its start (503, want 413).
+func TestFaultOfABodyGoesBeforeTheRefusalThatFollowsIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		told   bool // the reader's error is there too
+		status int
+		fault  error
+	}{
+		"refused first":       {false, http.StatusServiceUnavailable, errTooLarge},
+		"both":                {true, http.StatusServiceUnavailable, errTooLarge},
+		"failed first":        {false, http.StatusBadGateway, errTooLarge},
+		"served all the same": {false, http.StatusOK, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 20 { // a select takes one of two at random
+				rest := &upload{}
+				rest.in, rest.out = io.Pipe()
+				w := &watcher{q: &request{reply: make(chan answer, 1), message: message{rest: rest}}, ended: make(chan error, 1)}
+				rest.fail(errTooLarge)
+				w.q.reply <- answer{status: c.status}
+				if c.told {
+					w.ended <- errTooLarge
+				}
+				if a, err := w.await(); !errors.Is(err, c.fault) || (err == nil && a.status != c.status) {
+					t.Fatalf("status %d, error %v", a.status, err)
+				}
+			}
+		})
+	}
+}
