--- a/balancer.go
+++ b/balancer.go
@@ -1,6 +1,7 @@
-// The decisions of clayladder: every constant and most rules are in this file, those over quotas, budgets and
-// changed settings in state.go. The interface (types, events, actions) is in api.go, the check of settings in
-// settings.go; docs/postmortems.md tells why much of it is as it is.
+// The decisions of clayladder: requests and their repeats, concurrency limits, admission, and all constants.
+// subset.go has the subset of upstreams, bands.go the saturation bands, slowstart.go slow start, discovery.go
+// the calls of discovery and its lists, state.go quotas, budgets and changed settings. The interface is in
+// api.go, the check of settings in settings.go; docs/incidents tells why much of it is as it is.
 
 package clayladder
 
@@ -347,97 +348,6 @@
 	}
 }
 
-// read takes a load report as a reading of utilisation. Stand-ins: what is held or waits, and at sites
-// without reports the latency as a part of the aim.
-func (b *Balancer) read(u *upstream, l Load, ok bool, late float64, now time.Duration) {
-	x := l.Util
-	switch {
-	case l.Fields&HasUtil != 0:
-	case l.Fields&(HasInflight|HasQueue) != 0:
-		x = 1 - 1/(1+l.Inflight+l.Queue)
-	case b.s.Reports == ReportNone && ok:
-		x = min(1, late)
-	}
-	if (l.Fields != 0 && l == u.last) || (l.Fields == 0 && x == 0) { // not refreshed: no new reading
-		return
-	}
-	b.integrate(u, now)
-	u.window[u.readings%bandWindow] = x
-	u.last, u.readings = l, u.readings+1
-	u.mean, u.dev = bands(u.window[:min(u.readings, bandWindow)])
-}
-
-// bands returns the moving average and the population standard deviation.
-func bands(xs []float64) (mean, dev float64) {
-	for _, x := range xs {
-		mean += x / float64(len(xs))
-	}
-	for _, x := range xs {
-		dev += (x - mean) * (x - mean) / float64(len(xs))
-	}
-	return mean, math.Sqrt(dev)
-}
-
-// integrate adds the band gap. A server pinned at full load reads flat, so its level over the fleet's counts.
-func (b *Balancer) integrate(u *upstream, now time.Duration) {
-	gap := 2 * bandAlpha * (u.dev + max(0, u.mean-max(levelFloor, b.ceiling)))
-	u.area, u.readAt = u.area+gap*(now-u.readAt).Seconds()/bandPeriod.Seconds(), now
-}
-
-// rank is the value over one in n of the upstreams that have readings: the median for n = 2.
-func (b *Balancer) rank(n int, of func(*upstream) float64) float64 {
-	xs := make([]float64, 0, len(b.near)+1)
-	for _, u := range b.near {
-		if u.member && u.readings > 0 {
-			xs = append(xs, of(u))
-		}
-	}
-	slices.Sort(xs)
-	return append(xs, 0)[len(xs)/n]
-}
-
-// step closes the period: saturated upstreams lose share by degrees, the others regain it. The threshold
-// follows the fleet's median, so a rise on all servers cuts nobody.
-func (b *Balancer) step(now time.Duration) {
-	var work, size float64
-	for _, u := range b.near {
-		b.integrate(u, now)
-		if u.carried > 0 || u.periods > 0 { // a mean of the few there are, an empty one before them: care
-			u.periods++
-			u.work += max(smoothing, 1/(u.periods+1)) * (u.carried - u.work)
-		}
-		u.carried = 0
-		if u.member && !u.cold && !u.silent && u.work > 0 {
-			work, size = work+u.work/min(max(cmp.Or(u.mean, 1), levelFloor), 1), size+u.weight
-		}
-	}
-	b.carry = cmp.Or(work/max(size, math.SmallestNonzeroFloat32), b.carry) // with nobody to judge by, as before
-	threshold := max(areaFloor, areaRatio*b.rank(2, func(u *upstream) float64 { return u.area }))
-	for _, u := range b.near {
-		if u.readings >= bandWindow/2 && u.area > threshold {
-			u.factor = max(shareFloor, u.factor*max(cutMost, threshold/u.area))
-		} else {
-			u.factor = min(1, u.factor*restoreStep)
-		}
-		u.bound = min(u.bound, b.start*boundMost/boundStart)
-		u.area, u.most = 0, max(2*u.bound, boundStart) // or it grew tenfold before a reading told of full use
-	}
-	follow(&b.pace, b.sends/bandPeriod.Seconds(), partWeight)
-	b.sends = 0
-	b.reckon(now)
-	b.stepAt, b.ceiling = now, b.rank(2, func(u *upstream) float64 { return u.mean })
-	b.least = b.rank(4, func(u *upstream) float64 { return u.least })
-	b.calm = b.rank(4, func(u *upstream) float64 { return u.calm })
-	b.ups = slices.DeleteFunc(b.ups, func(u *upstream) bool { // forget what is gone and owes nothing
-		gone := u.State == Gone && len(u.outs) == 0
-		if gone {
-			delete(b.byID, u.ID)
-		}
-		return gone
-	})
-	b.gather(now)
-}
-
 // reckon sets what this balancer had answered in the period against what the upstreams report in all.
 // What others leave idle, since they are down or have few clients, is this one's to use. Quotas are of the
 // whole traffic, and the subset stands for as much of that as of the upstreams.
@@ -505,42 +415,6 @@
 
 // --- Eligibility ---
 
-// ramp is the share of its capacity that u is sure to have.
-func (b *Balancer) ramp(u *upstream, now time.Duration) float64 {
-	if u.cold && now-u.coldAt < b.s.Rules.RampTime {
-		from := b.s.Rules.ColdFrom
-		return from + (1-from)*max(0, float64(now-u.coldAt)/float64(b.s.Rules.RampTime))
-	}
-	u.cold = false
-	return 1
-}
-
-// chill treats u as freshly started: nothing learnt before holds.
-func (b *Balancer) chill(u *upstream, at time.Duration) {
-	u.cold, u.coldAt, u.lat, u.latDev, u.units, u.slow = true, at, 0, 0, 0, 0
-	u.readings, u.mean, u.dev, u.area, u.bound, u.least, u.calm = 0, 0, 0, 0, b.start, 0, 0
-}
-
-// coldRoom reports whether r fits this balancer's part of what a cold u may get over TipAfter, judged by what
-// warm ones carry. Half of that is left for bursts unless u reports use to spare: it may be faster or warm
-// sooner than is sure. No request counts less than the mean: many small ones once pushed a server over.
-func (b *Balancer) coldRoom(u *upstream, r *request, now time.Duration) bool {
-	if b.carry == 0 { // no warm upstream to judge by: one at a time, and as long a rest between two
-		return len(u.outs) == 0 && now-u.spentAt >= 2*time.Duration(b.lat)
-	}
-	rate := tipMargin * b.s.Rules.TipMultiple * b.ramp(u, now) * u.weight * b.carry / bandPeriod.Seconds()
-	leak := rate / 2
-	if u.readings > 0 && u.mean < fullUse { // it reports that it is far from its limit
-		leak = rate
-	}
-	u.spent, u.spentAt = max(0, u.spent-leak*(now-u.spentAt).Seconds()), now
-	room := max(0, rate/2*b.s.Rules.TipAfter.Seconds()-max(1, r.units))
-	if u.spent > room {
-		b.log(now, "cold", "upstream %d is cold: %.1f sent of late, over %.1f no more fits", u.ID, u.spent, room)
-	}
-	return u.spent <= room
-}
-
 // patience is how long u may owe every answer before it counts as silent.
 func (b *Balancer) patience(u *upstream, units float64) time.Duration {
 	usual := max(u.lat+patienceDevs*u.latDev, (1+patienceDevs/2)*b.lat) // one lucky answer is no measure
@@ -597,26 +471,6 @@
 	}
 }
 
-// countTurnedAway counts the requests in a row that u has turned away. Some while the list may be out
-// of date tell that it drains: it is left out, and tried again after a while, as discovery may be down long.
-func (b *Balancer) countTurnedAway(u *upstream, status Status, now time.Duration) {
-	switch status {
-	case OK, Error:
-		u.turnedAway = 0
-	case Full:
-		u.turnedAway++
-		if b.listInDoubt && u.turnedAway >= turnedAwayLimit {
-			u.presumedUntil = now + presumedDrainTime
-			b.gather(now)
-		}
-	}
-}
-
-// presumedDraining tells that u is left out as one that drains, although the list does not say so.
-func (b *Balancer) presumedDraining(u *upstream, now time.Duration) bool {
-	return b.listInDoubt && now < u.presumedUntil
-}
-
 // answered notes a sign of life.
 func (b *Balancer) answered(u *upstream, now time.Duration) {
 	u.silent, u.answeredAt, u.wait = false, now, b.tick
@@ -685,140 +539,6 @@
 	b.held = kept
 }
 
-// --- Discovery ---
-
-// Members takes what discovery says of the upstreams.
-func (b *Balancer) Members(now time.Duration, mode ListMode, list []Upstream) {
-	b.listInDoubt = mode != ListFull && mode != ListDelta
-	switch mode {
-	case ListStale: // at once: what it misses counts as told before turns drawn over all instances would be over
-		b.stale, b.watchWait = true, 0
-		b.ask(now)
-		return
-	case ListFailed: // ask again, later each time and never all instances at once
-		b.watchWait = max(b.watchWait*waitGrowth, b.s.Rules.AskWithin/32)
-		if !b.stale {
-			b.watchWait = max(b.watchWait, b.turnOfCalls())
-		}
-		b.watchWait = min(b.watchWait, b.s.Rules.AskWithin/2)
-		least, most := b.retryWindow(now)
-		wait := least + time.Duration(b.turnOf()*float64(min(b.watchWait*3/2, most)-least))
-		b.host.SetTimer(wait, watchToken)
-		b.log(now, "discovery", "discovery call failed: asking again in %v", wait)
-		return
-	}
-	b.stale, b.watchWait, b.askedAt = false, 0, now // a watch goes on with the next call
-	named := make(map[UpstreamID]bool, len(list))
-	for _, e := range list {
-		named[e.ID] = true
-		b.member(e.clean(), now)
-	}
-	for _, u := range b.ups {
-		if mode != ListDelta && !named[u.ID] {
-			u.State = Gone
-		}
-	}
-	b.gather(now)
-	b.dispatch(now)
-}
-
-// retryWindow is when to call discovery again after a call that has failed. It may be back, with news, since
-// that call was made: the next one is in time for that. A call that has waited for its turn in vain shows
-// that others were served then, and that soon nobody may wait any more: the next one begins sooner.
-func (b *Balancer) retryWindow(now time.Duration) (least, most time.Duration) {
-	took := now - b.askedAt
-	if took > callMost { // it had waited for news
-		took = 0
-	}
-	most = toldWithin - took - max(callSpare, min(took, callWaitMost))
-	least = min(b.watchWait, most) / 2
-	if took > callSpare {
-		least /= 2
-	}
-	return least, most
-}
-
-// ask calls discovery.
-func (b *Balancer) ask(now time.Duration) {
-	b.askedAt = now
-	b.host.Watch(true)
-}
-
-// turnOf is this balancer's own part of a time in which all call discovery: all may have begun at once.
-func (b *Balancer) turnOf() float64 {
-	_, turn := math.Modf(float64(b.s.Rank)*math.Phi + b.rng.Float64()/float64(b.s.Balancers))
-	return turn
-}
-
-// turnOfCalls is the time in which discovery, that serves calls in turn, can serve one of each balancer.
-func (b *Balancer) turnOfCalls() time.Duration {
-	return min(time.Duration(b.s.Balancers)*callTime, b.s.Rules.AskWithin/2)
-}
-
-// member applies one list entry.
-func (b *Balancer) member(e Upstream, now time.Duration) {
-	u := b.byID[e.ID]
-	if u == nil && e.State == Gone {
-		return
-	} else if u == nil {
-		u = &upstream{weight: e.Weight, factor: 1, most: boundStart, wait: b.tick, spentAt: now, answeredAt: now,
-			cutAt: now, freeAt: now, place: mixed(uint64(e.ID))}
-		b.byID[e.ID], b.ups = u, append(b.ups, u)
-	}
-	if e.StartedAt > max(u.StartedAt, u.backAt) { // new, or restarted under the same id
-		u.silent, u.freeAt = false, now
-		if now-e.StartedAt < b.s.Rules.RampTime {
-			b.chill(u, e.StartedAt)
-			u.spent, u.spentAt = b.rng.Float64(), now // not what it got while warm; drawn, or all begin at once
-		}
-	}
-	u.Upstream = e
-	if b.s.Weights == WeightLive { // late and the same for all: only its slow mean is safe to follow
-		e.Weight = u.weight + smoothing*(e.Weight-u.weight)
-	}
-	u.weight = max(e.Weight, math.SmallestNonzeroFloat32)
-}
-
-// gather chooses the upstreams that this balancer uses. Where balancers are many each upstream serves some of
-// them, or its connections run out and no balancer sees enough of it. All see the same ring of upstreams and
-// take a stretch from a place of their own; the golden ratio spreads these evenly for any run of ranks. Cold
-// and silent ones stay in the stretch, which then goes on to as many more. Those presumed to drain are passed
-// over, and replaced only where few are left: the next on the ring may drain as well.
-func (b *Balancer) gather(now time.Duration) {
-	ring := slices.DeleteFunc(slices.Clone(b.ups), func(u *upstream) bool { return !b.open(u) })
-	slices.SortFunc(ring, func(x, y *upstream) int { return cmp.Compare(x.place, y.place) })
-	allPresumed := !slices.ContainsFunc(ring, func(u *upstream) bool { return !b.presumedDraining(u, now) })
-	n, all := float64(len(ring)), float64(b.s.Balancers)
-	want := max(1, min(n, max(subsetLeast, math.Ceil(n*sharers/max(sharers, all-sharers)))))
-	even := max(n, 1) / want / all
-	b.start = boundStart * max(even, min(b.part, 1))
-	_, at := math.Modf(float64(b.s.Rank) * math.Phi)
-	good, chosen, most, least := 0.0, map[*upstream]bool{}, int(2*want), min(want, subsetLeast)
-	for i := 0; i < len(ring) && len(chosen) < most && good < want; i++ {
-		u := ring[(int(at*n)+i)%len(ring)]
-		if b.presumedDraining(u, now) && !allPresumed {
-			want = max(want-1, least)
-			continue
-		}
-		if chosen[u] = true; !u.cold && !u.silent {
-			good++
-		}
-	}
-	b.near = b.near[:0]
-	for _, u := range b.ups {
-		if chosen[u] && !u.member { // its first turn is drawn, or balancers march in step
-			first := b.rng.Float64()
-			u.bound, u.readAt, u.due = cmp.Or(u.bound, b.start), now, b.turn+first*want
-			u.freeAt = max(u.freeAt, now+time.Duration(first*float64(b.pause(u)))) // or all crowd it at once
-			u.spent, u.spentAt = first, now
-			u.probedAt = now - time.Duration(first*float64(bandPeriod))
-		}
-		if u.member = chosen[u]; u.member || len(u.outs) > 0 {
-			b.near = append(b.near, u)
-		}
-	}
-}
-
 // Probed takes a probe's result: a reading only, since a shallow probe proves no more than a process.
 func (b *Balancer) Probed(now time.Duration, p ProbeResult) {
 	if u := b.byID[p.Upstream]; u != nil && p.Status == OK {
