--- a/internal/scale/traffic.go
+++ b/internal/scale/traffic.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -84,6 +85,10 @@
 	}
 	began := time.Now()
 	time.Sleep(serviceTime)
+	if r.Context().Err() != nil {
+		slog.Info("an upstream's connection ended under its work", "request", r.Header.Get("X-Request-Id"), "method", r.Method,
+			"key", r.Header.Get("Idempotency-Key") != "")
+	}
 	w.Header().Set("X-Load", "util=0.30")
 	io.WriteString(w, strconv.FormatInt(int64(time.Since(began)), 10))
 }
@@ -235,6 +240,7 @@
 		}
 		if err != nil {
 			t.note(i, describe(err), 0, moved)
+			t.tellUnserved(n, kind, i, describe(err), began)
 			return
 		}
 		body, err := io.ReadAll(resp.Body)
@@ -246,6 +252,7 @@
 			t.note(i, "answer cut", 0, moved)
 		case resp.StatusCode != http.StatusOK:
 			t.note(i, strconv.Itoa(resp.StatusCode), 0, moved)
+			t.tellUnserved(n, kind, i, strconv.Itoa(resp.StatusCode), began)
 		case parsed != nil:
 			t.note(i, "200 of no upstream", 0, moved)
 		default:
@@ -255,6 +262,12 @@
 	}
 }
 
+// tellUnserved logs a request that was not served, by the id under which its balancer and its upstream had it.
+func (t *traffic) tellUnserved(n uint64, kind string, i int, status string, began time.Time) {
+	slog.Info("request not served", "request", fmt.Sprintf("%016x", n), "kind", kind, "balancer", t.reals[i].spec.Name,
+		"zone", t.reals[i].spec.Zone, "answer", status, "after", time.Since(began))
+}
+
 // describe is how a request without an answer ended.
 func describe(err error) string {
 	var e net.Error
