--- a/drain_test.go
+++ b/drain_test.go
@@ -265,7 +265,7 @@
 // Callers saw requests go to upstreams that had been announced as draining 6.5 s and more before. It takes an outage of
 // discovery, a release of upstreams right behind it, and a restart of most balancers into that: a call of each balancer
 // then costs discovery 4 to 6 s in all, so some have no list in time. The logs of each call and send showed that every
-// late send was turned away, by an upstream that had turned away 5 to 15 requests of the same balancer in a row.
+// late send was turned away, by an upstream that had turned away 8 to 13 requests of the same balancer in a row.
 func TestRestartedFleetSendsNothingLateToDrainingUpstreams(t *testing.T) {
 	for _, c := range []struct {
 		balancers int
