Ask the TCP connection's state for a held upload's client, without a library

The state of the connection (TCP_INFO) tells the same, a close and a reset behind unread bytes, and the standard library reads it on every Linux.

--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -17,8 +17,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // This file reads and writes messages. net/http's own readers are not used: they drop a Content-Length that stands
@@ -396,20 +394,27 @@
 	return true
 }
 
+// The states of a TCP connection in which the other side has ended it, as include/net/tcp_states.h of Linux numbers them.
+const (
+	tcpClose     = 7 // by a reset
+	tcpCloseWait = 8 // by a close
+	tcpStateMask = 0xff
+)
+
 // hungUp looks, without waiting or reading, whether the other side has closed or reset a connection.
 func hungUp(c net.Conn) bool {
 	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return true
 	}
-	var events int16
+	state := 0
 	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		if _, err := unix.Poll(fds, 0); err == nil {
-			events = fds[0].Revents
+		info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO) // its first byte is the state
+		if err == nil {
+			state = info & tcpStateMask
 		}
 	})
-	return err != nil || events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	return err != nil || state == tcpClose || state == tcpCloseWait
 }
 
 // end tells the client's side that the rest is not wanted. After the last byte it has no effect.
