Add a seeded soak of restarts, with real processes, to the scale run

Real balancers with clients, upstreams and discovery on loopback. By seed: SIGHUP with settings, with a broken file and with discovery moved, an outage of discovery, a drain of an upstream and of the balancer, a crowd, then SIGTERM, at times with a second signal or a drain in the same moment, or an upgrade with handover before it. Clients use every open connection until the end, SIGKILL is due 3.7 s after SIGTERM; some leave, send uploads in pieces or bytes ahead. Lists and machines of discovery are the scale run's own.

Left out: two balancers beside each other in one seed, bodies in chunks.

--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -43,10 +43,16 @@
 	pflag.DurationVar(&o.Cut, "cut", 3*time.Minute, "how long the scene cut takes discovery away")
 	pflag.StringVar(&o.Program, "program", "", "the balancer's program (empty: it is built)")
 	pflag.StringVar(&o.Before, "before", "", "an older program of the balancer, for every second real one: before and after in one run")
+	soaks := pflag.Int("soak", 0, "seeds of the soak of restarts to play, and nothing else")
+	seed := pflag.Uint64("seed", 1, "the first seed of the soak")
+	beside := pflag.Int("beside", 4, "seeds of the soak that are played at one time")
 	pflag.Parse()
 	if *role != "" {
 		return scale.ServeRole(*role)
 	}
+	if *soaks > 0 {
+		return scale.Soaks(o.Program, *seed, *soaks, *beside, os.Stdout)
+	}
 	if len(o.Slopes)+len(o.Scenes) == 0 && !o.Within {
 		o.Slopes, o.Scenes = []string{"all"}, []string{"settings", "zone", "restart"}
 	}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -149,13 +149,22 @@
 	return base
 }
 
+// BuildBalancer builds the balancer's program into dir and returns its path.
+func BuildBalancer(dir string) (string, error) {
+	program := filepath.Join(dir, "olivearch")
+	if out, err := exec.Command("go", "build", "-o", program, "clayladder/cmd/olivearch").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building the balancer: %w: %s", err, out)
+	}
+	return program, nil
+}
+
 func (r *Run) all() error {
 	program := r.options.Program
 	if program == "" && len(r.options.Scenes) > 0 {
 		r.progress("building the balancer")
-		program = filepath.Join(r.kids.dir, "olivearch")
-		if out, err := exec.Command("go", "build", "-o", program, "clayladder/cmd/olivearch").CombinedOutput(); err != nil {
-			return fmt.Errorf("building the balancer: %w: %s", err, out)
+		var err error
+		if program, err = BuildBalancer(r.kids.dir); err != nil {
+			return err
 		}
 	}
 	r.programs, r.names = []string{program}, []string{"this program"}
--- /dev/null
+++ b/internal/scale/soak_test.go
@@ -0,0 +1,27 @@
+package scale
+
+import (
+	"fmt"
+	"testing"
+)
+
+// A short soak of restarts. Seeds of their own are played by hand, see README.
+func TestSoakOfRestarts(t *testing.T) {
+	program, err := BuildBalancer(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := uint64(1); seed <= 8; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			result, err := Soak(program, seed, t.TempDir())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := result.Err(); err != nil {
+				t.Error(err)
+			}
+			t.Logf("%d requests, %d restarts, held up for %v", result.Requests, result.Restarts, result.Late)
+		})
+	}
+}
