--- a/balancer.go
+++ b/balancer.go
@@ -77,7 +77,7 @@
 
 // NewWith returns a Balancer that goes by a plan, which others may share.
 func NewWith(p *Plan, seed uint64, now time.Duration, host Host) *Balancer {
-	b := &Balancer{host: host, rng: rand.New(rand.NewPCG(seed, 0)), classes: map[string]*habits{},
+	b := &Balancer{host: host, rng: rand.New(rand.NewPCG(seed, 0)), classes: map[string]*classStatistics{},
 		tenants: map[string]*tenant{}, requests: map[RequestID]*request{},
 		byID: map[UpstreamID]*upstream{}, off: map[UpstreamID]bool{}, logged: map[string]time.Duration{},
 		stepAt: now, tightAt: now, doubt: 1}
@@ -136,7 +136,7 @@
 		r.worth *= b.s.OverShareWorth
 	}
 	// A try of the usual budget may be a first one. Any other was given what is left of the deadline, a last one
-	// more than usual, and so shows its age. Past the aim such once took the turns of those in time.
+	// more than usual, and so shows its age. Past the aim it would take the turns of those in time.
 	// The more a class is worth, the sooner a small chance to be in time outweighs what a cheap one is sure of.
 	spare := time.Duration((sendSpare - c.LateWorth) * cmp.Or(c.lat, b.lat) * b.plan.stake(c.Worth))
 	if !c.usual(q.Budget) && c.Aim-(c.Deadline-q.Budget) < spare {
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -26,8 +26,7 @@
 	lingerMost = 4
 	sweepEvery = time.Second
 	// restFor is how long a connection rests between two requests. Answers do not name their request: a second copy
-	// that comes late, after the next request is written, would pass for its answer. In a rest it is seen instead. Seen
-	// were such copies up to 4 ms behind the answer.
+	// that comes late, after the next request is written, would pass for its answer. In a rest it is seen instead.
 	restFor  = 10 * time.Millisecond
 	logQueue = 256
 	// listPatience is how long a start waits for discovery's list before the one held from before has to do: a new
--- a/reload_test.go
+++ b/reload_test.go
@@ -144,11 +144,11 @@
 		}
 		b.Timer(now, tickToken)
 	}
-	habits, level, ups := *b.classes["write"], *b.tenants["small"], []upstream{}
+	classStatistics, level, ups := *b.classes["write"], *b.tenants["small"], []upstream{}
 	for _, u := range b.ups {
 		ups = append(ups, *u)
 	}
-	if habits.lat == 0 || level.level < 1 || ups[0].readings == 0 {
+	if classStatistics.lat == 0 || level.level < 1 || ups[0].readings == 0 {
 		t.Fatal("nothing was learnt")
 	}
 	lat, carry, part, turn := b.lat, b.carry, b.part, b.turn
@@ -162,12 +162,12 @@
 			t.Errorf("upstream %d: %+v, was %+v", u.ID, u, was)
 		}
 	}
-	if *b.classes["write"] != habits || *b.tenants["small"] != level || b.lat != lat || b.carry != carry ||
+	if *b.classes["write"] != classStatistics || *b.tenants["small"] != level || b.lat != lat || b.carry != carry ||
 		b.part != part || b.turn != turn {
 		t.Error("what was learnt of classes, tenants or the fleet has changed")
 	}
 	b.Request(now, Request{ID: 1000, Class: "write", Budget: time.Second})
-	if r := b.requests[1000]; r == nil || r.class.Worth != 7 || r.class.lat != habits.lat {
+	if r := b.requests[1000]; r == nil || r.class.Worth != 7 || r.class.lat != classStatistics.lat {
 		t.Errorf("the new terms do not hold: %+v", r)
 	}
 }
@@ -234,7 +234,7 @@
 	if gone := all - learnt(); gone != forgetMost || len(b.classes) == 3 {
 		t.Errorf("%d names are forgotten in a tick, want %d; %d classes are left", gone, forgetMost, len(b.classes))
 	}
-	level, kept := *b.tenants["t0"], map[string]habits{}
+	level, kept := *b.tenants["t0"], map[string]classStatistics{}
 	for name, h := range b.classes {
 		kept[name] = *h
 	}
--- a/slowstart.go
+++ b/slowstart.go
@@ -22,7 +22,7 @@
 
 // coldRoom reports whether r fits this balancer's part of what a cold u may get over TipAfter, judged by what
 // warm ones carry. Half of that is left for bursts unless u reports use to spare: it may be faster or warm
-// sooner than is sure. No request counts less than the mean: many small ones once pushed a server over.
+// sooner than is sure. No request counts less than the mean, as small ones have a fixed part too.
 func (b *Balancer) coldRoom(u *upstream, r *request, now time.Duration) bool {
 	crowding := max(1, coldUse*u.crowding)
 	if b.carry == 0 { // no warm upstream to judge by: one at a time, and as long a rest between two
--- a/state.go
+++ b/state.go
@@ -24,9 +24,9 @@
 	return false
 }
 
-// habits are what a class's requests have shown: their usual latency, ns, and the usual budget of a try, with the votes
+// classStatistics are what a class's requests have shown: their usual latency, ns, and the usual budget of a try, with the votes
 // for that.
-type habits struct {
+type classStatistics struct {
 	lat    float64
 	budget time.Duration
 	votes  int
@@ -52,12 +52,12 @@
 // class is a class as a request met it: the terms that held, and what is learnt of it.
 type class struct {
 	*Class
-	*habits
+	*classStatistics
 }
 
 // usual takes a try's budget and reports whether it is the usual one, by a majority vote that forgets. The longest
 // budget is none to go by: a client's last try may have all of the deadline that is left.
-func (c *habits) usual(budget time.Duration) bool {
+func (c *classStatistics) usual(budget time.Duration) bool {
 	if c.votes == 0 {
 		c.budget = budget
 	}
@@ -144,9 +144,9 @@
 	rng                     *rand.Rand
 	plan                    *Plan // in force
 	safest                  Repeat
-	classes                 map[string]*habits // learnt, since the first use
-	tenants                 map[string]*tenant // likewise
-	gone                    []Change           // of which something is still to be forgotten
+	classes                 map[string]*classStatistics // learnt, since the first use
+	tenants                 map[string]*tenant          // likewise
+	gone                    []Change                    // of which something is still to be forgotten
 	requests                map[RequestID]*request
 	byID                    map[UpstreamID]*upstream
 	ups                     []*upstream         // in order of arrival
@@ -223,7 +223,7 @@
 	}
 	h := b.classes[name]
 	if h == nil {
-		h = &habits{}
+		h = &classStatistics{}
 		b.classes[name] = h
 	}
 	return class{terms, h}
