Count an upload's deadline from when its client can have written the last byte

The process did not end on SIGTERM.

Cause: the deadline of a streamed body was set by bodyReceived, when the balancer had read its last byte (requestReceived and bodyReceived in loop.go), and counted from then. The balancer reads no faster than the upstream takes, so a byte that the client had written long ago stayed in the sockets' buffers, and no timer ran. Balancer.checkResponsiveness passes over uploads; attempt.upload gave up after 10 s and left the attempt reading for a response. A response that began before the end of the body and hung was held likewise.

Change: bodyArrivals and timedConn.awaitedAt give the earliest time at which the client can have written its last byte: it has not been awaited since, and no more has arrived than a send buffer holds. clientWatcher checks the deadline that follows each 25 ms while an attempt holds up the body, and bodyReceived passes it on to the loop's timer. loop.expireAttempt abandons an upload by a compare-and-swap against the write of its last byte, so such a request surely never ran and is refused.

Why this works: every wait for the upstream is bounded by the client's own time, in the body or in an early response, and while stopping (capBudget). A client that is awaited, or still writing, is not cut off.

Ruled out: a hang behind a body taken at once, where the deadline was right; clients with bytes left to write.

Tests, failing before the change: TestUploadToHungUpstreamIsAnswered in four of six cases (no response in a minute), TestUploadTakenSlowlyIsAnsweredInTime in all four (after 1.7 and 3.5 s for 1 s). TestStopEndsUploadToHungUpstream and TestEarliestEndOfBody hold parts of the change. TestUploadLongerThanDeadlineIsServed passes before and after: it keeps the mend from cutting what goes on.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -55,6 +55,11 @@
 	// clientIdleTimeout is how long a connection may be idle between two requests.
 	clientIdleTimeout = 2 * time.Minute
 
+	// bodyCheckInterval is the time between two checks of the deadline of a request whose body is not complete.
+	bodyCheckInterval = 25 * time.Millisecond
+	// minReadWait is the time from which a read counts as having waited for the client: nothing was left to read.
+	minReadWait = time.Millisecond
+
 	// clientLingerTimeout and maxClientLingerBytes limit how long and how much is read and discarded after
 	// a request was refused. Closing at once would reset the connection, and the client could lose the
 	// response.
@@ -92,6 +97,7 @@
 	remaining   time.Duration // time that reads may still take
 	stopped     atomic.Bool   // reads fail at once
 	lastRead    atomic.Int64  // when bytes were last read, in Unix nanoseconds
+	awaitedAt   atomic.Int64  // when the last read that had to wait for the client ended, in Unix nanoseconds
 }
 
 // Read reads from the connection. If limited is set, it fails with a timeout once remaining is used up.
@@ -105,10 +111,14 @@
 		c.Conn.SetReadDeadline(time.Unix(0, 1))
 	}
 	n, err := c.Conn.Read(b)
+	end := time.Now()
 	if n > 0 {
-		c.lastRead.Store(time.Now().UnixNano())
+		c.lastRead.Store(end.UnixNano())
+	}
+	if end.Sub(start) >= minReadWait {
+		c.awaitedAt.Store(end.UnixNano())
 	}
-	c.remaining -= time.Since(start)
+	c.remaining -= end.Sub(start)
 	if c.readingBody {
 		c.remaining = min(c.remaining+time.Duration(n)*time.Second/minClientBodyRate, requestHeadTimeout)
 	}
@@ -376,6 +386,7 @@
 		if first { // the first request's time counts from the accept
 			c.timed.remaining -= time.Since(c.acceptedAt)
 		}
+		c.timed.awaitedAt.Store(time.Now().UnixNano())
 		req, h, err := f.readRequest(c)
 		if err != nil {
 			c.timed.limited = false
@@ -441,6 +452,7 @@
 // clientWatcher reads from a client's connection while its request is served: first the rest of a streamed
 // body, and then a peek that detects that the client has closed or has sent bytes after the request.
 type clientWatcher struct {
+	front    *frontend
 	c        *client
 	req      *request
 	readDone chan error // holds the result of reading; nil: bytes after the request
@@ -449,10 +461,14 @@
 
 // watchClient starts a watcher for a request.
 func (f *frontend) watchClient(c *client, req *request) *clientWatcher {
-	w := &clientWatcher{c: c, req: req, readDone: make(chan error, 1)}
+	w := &clientWatcher{front: f, c: c, req: req, readDone: make(chan error, 1)}
+	if rest := req.message.rest; rest != nil {
+		rest.received.Store(int64(len(req.message.body)))
+		rest.recordArrivals(time.Now())
+	}
 	go func() {
 		if req.message.rest != nil {
-			if err := f.forwardBody(c, req); err != nil {
+			if err := w.forwardBody(); err != nil {
 				w.readDone <- err
 				return
 			}
@@ -470,27 +486,59 @@
 }
 
 // awaitResponse waits for the loop's response. It returns an error if the client closes the connection or
-// sends an invalid body or bytes after the request.
+// sends an invalid body or bytes after the request. While the body is not complete it watches the body's deadline.
 func (w *clientWatcher) awaitResponse() (clientResponse, error) {
-	select {
-	case resp := <-w.req.responseCh:
-		// An error in the client's body also ends the attempt. The response to that may arrive first, and
-		// would tell the client that a retry is safe.
-		if clientErr := w.req.message.rest.clientErr(); clientErr != nil && resp.status != http.StatusOK {
-			return clientResponse{}, clientErr
-		}
-		return resp, nil
-	case err := <-w.readDone:
-		if err == nil {
-			return clientResponse{}, errPipelined
-		} else if !errors.Is(err, errBodyUnwanted) {
-			return clientResponse{}, err
+	readDone := w.readDone
+	var bodyChecks <-chan time.Time
+	if w.req.message.rest != nil {
+		ticker := time.NewTicker(bodyCheckInterval)
+		defer ticker.Stop()
+		bodyChecks = ticker.C
+	}
+	for {
+		select {
+		case resp := <-w.req.responseCh:
+			// An error in the client's body also ends the attempt. The response to that may arrive first, and
+			// would tell the client that a retry is safe.
+			if clientErr := w.req.message.rest.clientErr(); clientErr != nil && resp.status != http.StatusOK {
+				return clientResponse{}, clientErr
+			}
+			return resp, nil
+		case err := <-readDone:
+			if err == nil {
+				return clientResponse{}, errPipelined
+			} else if !errors.Is(err, errBodyUnwanted) {
+				return clientResponse{}, err
+			}
+			w.readDone <- err // for stop
+			readDone = nil
+		case <-bodyChecks:
+			if w.bodyOverdue() {
+				bodyChecks = nil
+				w.front.post(bodyExpired{w.req})
+			}
 		}
-		w.readDone <- err
-		return <-w.req.responseCh, nil
 	}
 }
 
+// bodyOverdue reports whether the client's deadline may be over while the upstream takes no more of the body, or
+// takes it too slowly.
+func (w *clientWatcher) bodyOverdue() bool {
+	rest, now := w.req.message.rest, time.Now()
+	rest.recordArrivals(now)
+	return rest.blocked.Load() && w.remainingBudget(now) <= 0
+}
+
+// remainingBudget returns how long the client of a streamed body still waits, if it wrote its last byte as early as
+// possible. It had not written that byte when it was last awaited.
+func (w *clientWatcher) remainingBudget(now time.Time) time.Duration {
+	lastByteAt := w.req.message.rest.arrivals.earliestEnd()
+	if awaitedAt := time.Unix(0, w.c.timed.awaitedAt.Load()); awaitedAt.After(lastByteAt) {
+		lastByteAt = awaitedAt
+	}
+	return w.front.capBudget(w.req.Budget - now.Sub(lastByteAt))
+}
+
 // stop ends reading, sets readErr and reports whether the whole request has been received.
 func (w *clientWatcher) stop() bool {
 	rest := w.req.message.rest
@@ -505,17 +553,17 @@
 
 // forwardBody writes the rest of a body to the pipe that an attempt reads, and posts bodyReceived once the body
 // is complete. The pipe has no buffer, so the client is read no faster than the attempt reads.
-func (f *frontend) forwardBody(c *client, req *request) error {
-	rest := req.message.rest
+func (w *clientWatcher) forwardBody() error {
+	rest := w.req.message.rest
 	p := bodyBuffers.Get().(*bodyBuffer)
 	defer bodyBuffers.Put(p)
-	for total := int64(len(req.message.body)); ; {
+	for {
 		n, err := rest.body.Read(p.data())
-		if total += int64(n); total > maxBodyBytes {
+		if rest.received.Add(int64(n)) > maxBodyBytes {
 			err = errRequestTooLarge
 		}
 		if n > 0 && (err == nil || err == io.EOF) {
-			if _, err := rest.writer.Write(p.data()[:n]); errors.Is(err, errClientClosed) {
+			if err := rest.write(p.data()[:n]); errors.Is(err, errClientClosed) {
 				return err
 			} else if err != nil {
 				return errBodyUnwanted
@@ -523,7 +571,7 @@
 		}
 		if err == io.EOF {
 			rest.complete = true
-			f.post(bodyReceived{req, f.now(), f.capBudget(req.Budget)})
+			w.front.post(bodyReceived{w.req, w.front.now(), w.remainingBudget(time.Now())})
 			rest.writer.Close()
 			return nil
 		} else if err != nil {
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -52,7 +52,7 @@
 	// attempts set it.
 	clientGone  atomic.Bool
 	deadline    time.Duration // when the client stops waiting
-	bodyPending bool          // the body is still arriving, and the deadline is not set
+	bodyPending bool          // the body is not complete, and the deadline is not set
 	attempts    []*attempt
 	inFlight    int  // attempts whose outcome has not been reported
 	closed      bool // the response has been sent, or the client is gone
@@ -300,19 +300,19 @@
 	return r.deadline - now
 }
 
-// bodyReceived reports that the body of a streaming request is complete. Its deadline starts.
+// bodyReceived reports that the body of a streaming request is complete, and how long its client still waits.
 type bodyReceived struct {
 	*request
 	at     time.Duration
-	budget time.Duration
+	budget time.Duration // from at on
 }
 
 func (e bodyReceived) apply(l *loop) {
 	r := e.request
-	if r.closed {
+	if r.closed || !r.bodyPending {
 		return
 	}
-	r.bodyPending, r.deadline = false, e.at+min(e.budget, r.Budget)
+	r.bodyPending, r.deadline = false, e.at+e.budget
 	l.addTimer(loopTimer{at: r.deadline, request: r})
 	now := l.now()
 	for _, a := range r.attempts {
@@ -321,6 +321,20 @@
 	l.balancer.BodyComplete(now, r.ID)
 }
 
+// bodyExpired reports that the client of a streaming request no longer waits although the body is not complete.
+type bodyExpired struct{ *request }
+
+func (e bodyExpired) apply(l *loop) {
+	r := e.request
+	if r.closed || !r.bodyPending {
+		return
+	}
+	r.bodyPending, r.deadline = false, l.now()
+	for _, a := range r.attempts {
+		l.expireAttempt(a)
+	}
+}
+
 // clientLeft reports that the client has closed its connection.
 type clientLeft struct{ *request }
 
@@ -436,9 +450,14 @@
 	l.reportOutcome(a, attemptResult{status: status})
 }
 
-// expireAttempt ends an attempt that has timed out, unless its response is being streamed.
+// expireAttempt ends an attempt that has timed out, unless its response is being streamed. An upstream that has
+// not taken the whole request cannot have executed it.
 func (l *loop) expireAttempt(a *attempt) {
-	if !a.reported && !a.streamStarted {
+	switch {
+	case a.reported || a.streamStarted:
+	case a.abandonUpload():
+		l.endAttempt(a, garnettide.ConnectFailed)
+	default:
 		l.endAttempt(a, garnettide.Timeout)
 	}
 }
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -372,6 +372,25 @@
 	started  atomic.Bool           // an attempt has begun to read it, so no other one can
 	complete bool                  // set by the frontend when the last byte has arrived
 	failure  atomic.Pointer[error] // passed to fail
+	received atomic.Int64          // bytes of the body that have been read from the client
+	arrivals bodyArrivals
+	// blocked is set while the frontend waits for an attempt to take bytes. It stays set once the rest is not needed.
+	blocked atomic.Bool
+}
+
+// write passes bytes to the attempt that reads the body, and waits until it has taken them.
+func (u *upload) write(b []byte) error {
+	u.blocked.Store(true)
+	_, err := u.writer.Write(b)
+	if err == nil {
+		u.blocked.Store(false)
+	}
+	return err
+}
+
+// recordArrivals notes how much of the body has arrived by now, read or not.
+func (u *upload) recordArrivals(now time.Time) {
+	u.arrivals.record(now, u.received.Load()+unreadBytes(u.client))
 }
 
 // fail ends the body with an error of the client's, for the attempt that reads it.
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -92,6 +92,13 @@
 	attemptWritten
 )
 
+// The stages of an upload. The loop may abandon one whose last byte is not being written.
+const (
+	uploadOpen      int32 = iota
+	uploadAbandoned       // the last byte will not be written
+	uploadLastWrite       // the last byte is being written or has been
+)
+
 // attempt is one send of a request to an upstream.
 type attempt struct {
 	req                *request
@@ -106,14 +113,15 @@
 	stage              atomic.Int32
 	readDeadline       atomic.Int64  // Unix nanoseconds: end of reading; 0: not set by the loop
 	uploadDone         chan struct{} // closed when the upload has ended; nil: the request is not streaming
-	uploadComplete     atomic.Bool   // the whole body was written
-	uploadAborted      atomic.Bool   // the upload failed because of the client
-	conn               *conn         // the loop reads it only after the attempt is claimed
-	reported           bool          // loop only: the Balancer has the outcome
-	awaitsLateResponse bool          // loop only: kept open for a late response
-	aborted            bool          // loop only: abort was called
-	streamStarted      bool          // loop only: the response is being streamed to the client
-	neverRan           bool          // loop only: the request was not executed
+	uploadStage        atomic.Int32
+	uploadComplete     atomic.Bool // the whole body was written
+	uploadAborted      atomic.Bool // the upload failed because of the client
+	conn               *conn       // the loop reads it only after the attempt is claimed
+	reported           bool        // loop only: the Balancer has the outcome
+	awaitsLateResponse bool        // loop only: kept open for a late response
+	aborted            bool        // loop only: abort was called
+	streamStarted      bool        // loop only: the response is being streamed to the client
+	neverRan           bool        // loop only: the request was not executed
 }
 
 // writeBefore lowers the deadline for writing the request. Only the loop calls it.
@@ -138,6 +146,16 @@
 	a.setReadDeadline(time.Unix(0, 1))
 }
 
+// abandonUpload prevents the last byte of a streaming request from being written, and reports whether it did.
+func (a *attempt) abandonUpload() bool {
+	return a.uploadDone != nil && a.uploadStage.CompareAndSwap(uploadOpen, uploadAbandoned)
+}
+
+// beginLastWrite reports whether the last byte of a streaming request may be written.
+func (a *attempt) beginLastWrite() bool {
+	return a.uploadStage.CompareAndSwap(uploadOpen, uploadLastWrite)
+}
+
 // waitReadable waits until reading the response would not block. It reports false if nothing has arrived by
 // the given time.
 func (a *attempt) waitReadable(until time.Time) bool {
@@ -213,6 +231,9 @@
 	if !ok {
 		return attemptResult{status: garnettide.NotSent, conn: c}
 	}
+	if rest := a.message.rest; rest != nil && rest.length == int64(len(a.message.body)) {
+		a.beginLastWrite() // the rest is empty
+	}
 	// An unresponsive host accepts bytes only until its buffers are full.
 	c.SetWriteDeadline(time.Now().Add(responseTimeout))
 	head, tail := a.message.bytes(responseTimeout) // the remaining time is known only once the connection is open
@@ -292,13 +313,18 @@
 	if inChunks && afterChunk {
 		io.WriteString(a.conn, "\r\n") // ends the buffered chunk; an error shows in the next write
 	}
+	unsent := u.length - int64(len(a.message.body))
 	for {
 		n, err := u.reader.Read(p.data())
+		unsent -= int64(n)
+		if n > 0 && unsent == 0 && !a.beginLastWrite() {
+			break
+		}
 		if n > 0 && writeFully(a.conn, p.framed(n, inChunks)) != nil {
 			break // the upstream may have responded early, which the reader detects
 		}
 		if err == io.EOF {
-			if inChunks && writeFully(a.conn, []byte(lastChunk)) != nil {
+			if inChunks && (!a.beginLastWrite() || writeFully(a.conn, []byte(lastChunk)) != nil) {
 				break
 			}
 			a.uploadComplete.Store(true)
