Keep a stopped upload from writing on for 10 s, so that an early response is not held back

Cause: attempt.finishUpload ends the upload by a write deadline in the past. Where the write had got a part out, writeFully took the timeout for progress and set a new deadline of 10 s; finishUpload waits for the end.

Change: uploadConn remembers that it was stopped, and then sets no other write deadline, as timedConn does for reads.

TestEarlyResponseEndsUploadAtOnce before the change: "time until the response: got 2s, want 20ms".

--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -231,6 +231,7 @@
 		begin := time.Now()
 		stopped := make(chan struct{})
 		go func() { b.front.stop(); close(stopped) }()
+		client.SetReadDeadline(begin.Add(time.Minute))
 		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
 		if err != nil {
 			t.Fatal(err)
@@ -269,3 +270,34 @@
 		want(t, fmt.Sprintf("earliest end after %d s", c.seconds), a.earliestEnd(), after(c.earliest))
 	}
 }
+
+// TestEarlyResponseEndsUploadAtOnce guards against holding back a response that an upstream sends before the end of the
+// body: a write of which it has taken a part was repeated until nothing had been taken for 10 s.
+func TestEarlyResponseEndsUploadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
+		close(b.connectGate)
+		u := b.addUpstream(respondOK)
+		u.serve = func(c net.Conn) {
+			if _, err := readRequestHead(c); err != nil {
+				return
+			}
+			io.CopyN(io.Discard, c, maxBufferedBody+bodyBufferSize/2) // ends within a piece of the streamed part
+			io.WriteString(c, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			waitForClose(c)
+		}
+		b.sendList(50, u.member("s-00000001"))
+		synctest.Wait()
+		client := b.connectClient()
+		go writeUpload(client, "1", 2*time.Second, numberedBytes(8*maxBufferedBody), false)
+		begin := time.Now()
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want(t, "status", resp.StatusCode, http.StatusServiceUnavailable)
+		want(t, "time until the response", time.Since(begin), uploadDoneTimeout)
+		client.Close()
+		b.expireAndStop()
+	})
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -99,6 +99,27 @@
 	uploadLastWrite       // the last byte is being written or has been
 )
 
+// uploadConn is a connection to an upstream to which a body is streamed.
+type uploadConn struct {
+	net.Conn
+	stopped atomic.Bool // writes fail at once
+}
+
+// SetWriteDeadline sets the deadline of writes, unless stop has been called.
+func (c *uploadConn) SetWriteDeadline(at time.Time) error {
+	err := c.Conn.SetWriteDeadline(at)
+	if c.stopped.Load() { // checked after the deadline is set, which may have overwritten the one set by stop
+		return c.Conn.SetWriteDeadline(time.Unix(0, 1))
+	}
+	return err
+}
+
+// stop makes current and later writes fail with a timeout. It may be called from any goroutine.
+func (c *uploadConn) stop() {
+	c.stopped.Store(true)
+	c.Conn.SetWriteDeadline(time.Unix(0, 1))
+}
+
 // attempt is one send of a request to an upstream.
 type attempt struct {
 	req                *request
@@ -113,6 +134,7 @@
 	stage              atomic.Int32
 	readDeadline       atomic.Int64  // Unix nanoseconds: end of reading; 0: not set by the loop
 	uploadDone         chan struct{} // closed when the upload has ended; nil: the request is not streaming
+	uploadConn         *uploadConn   // the connection, as the upload writes to it
 	uploadStage        atomic.Int32
 	uploadComplete     atomic.Bool // the whole body was written
 	uploadAborted      atomic.Bool // the upload failed because of the client
@@ -246,6 +268,7 @@
 		return attemptResult{status: garnettide.Reset}
 	}
 	if a.uploadDone != nil {
+		a.uploadConn = &uploadConn{Conn: c}
 		a.message.rest.started.Store(true) // receiveResponse may fail before the upload's goroutine runs
 		go a.upload(a.message.rest, len(tail) > 0)
 	}
@@ -311,7 +334,7 @@
 	defer bodyBuffers.Put(p)
 	inChunks := u.length < 0
 	if inChunks && afterChunk {
-		io.WriteString(a.conn, "\r\n") // ends the buffered chunk; an error shows in the next write
+		io.WriteString(a.uploadConn, "\r\n") // ends the buffered chunk; an error shows in the next write
 	}
 	unsent := u.length - int64(len(a.message.body))
 	for {
@@ -320,11 +343,11 @@
 		if n > 0 && unsent == 0 && !a.beginLastWrite() {
 			break
 		}
-		if n > 0 && writeFully(a.conn, p.framed(n, inChunks)) != nil {
+		if n > 0 && writeFully(a.uploadConn, p.framed(n, inChunks)) != nil {
 			break // the upstream may have responded early, which the reader detects
 		}
 		if err == io.EOF {
-			if inChunks && (!a.beginLastWrite() || writeFully(a.conn, []byte(lastChunk)) != nil) {
+			if inChunks && (!a.beginLastWrite() || writeFully(a.uploadConn, []byte(lastChunk)) != nil) {
 				break
 			}
 			a.uploadComplete.Store(true)
@@ -362,7 +385,7 @@
 	case <-a.uploadDone:
 	case <-time.After(uploadDoneTimeout): // the last write may be about to return
 		a.message.rest.cancel()
-		a.conn.SetWriteDeadline(time.Unix(0, 1))
+		a.uploadConn.stop()
 		<-a.uploadDone
 	}
 	return a.uploadComplete.Load()
