Wait for an upload to end before calling a reset request unsent

Cause: upstreamTransport.run read uploadComplete when the connection was reset, but attempt.upload set it only after the write of the last byte had returned and the body's end had been read, which rest.cancel prevents.

Change: the connection is closed at that point, so run waits for the upload's goroutine, and the upload is complete with the write of its last byte. Why it works: what is decided is then what was written.

TestResetBehindUploadIsNotRefused forces the order; before the change it got 503 and wanted 502, 5 of 5 runs.

--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -301,3 +302,58 @@
 		b.expireAndStop()
 	})
 }
+
+// lateWriteConn is an upstream's connection on which the write of a body's last byte returns only after a close.
+type lateWriteConn struct {
+	*memConn
+	closing chan struct{}
+	once    sync.Once
+}
+
+// lastByte ends the bodies of tests that use a lateWriteConn.
+const lastByte = '$'
+
+func (c *lateWriteConn) Write(b []byte) (int, error) {
+	n, err := c.memConn.Write(b)
+	if n > 0 && b[n-1] == lastByte {
+		<-c.closing
+	}
+	return n, err
+}
+
+func (c *lateWriteConn) Close() error {
+	c.once.Do(func() { close(c.closing) })
+	return c.memConn.Close()
+}
+
+// TestResetBehindUploadIsNotRefused guards against a 503, which says that a retry is safe, for a request that an
+// upstream has received whole: its connection was reset before the write of the last byte had returned.
+func TestResetBehindUploadIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
+		received := 0
+		u := b.addUpstream(respondOK)
+		u.serve = func(c net.Conn) {
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				body, _ := io.ReadAll(r.Body)
+				received = len(body)
+			}
+		}
+		b.transport.open = func(string, string, time.Duration) (net.Conn, error) {
+			return &lateWriteConn{memConn: u.dial().(*memConn), closing: make(chan struct{})}, nil
+		}
+		b.sendList(50, u.member("s-00000001"))
+		synctest.Wait()
+		client := b.connectClient()
+		body := append(numberedBytes(2*maxBufferedBody), lastByte)
+		go writeUpload(client, "1", time.Second, body, false)
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want(t, "status", resp.StatusCode, http.StatusBadGateway)
+		want(t, "body bytes at the upstream", received, len(body))
+		client.Close()
+		b.expireAndStop()
+	})
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -175,7 +175,7 @@
 
 // beginLastWrite reports whether the last byte of a streaming request may be written.
 func (a *attempt) beginLastWrite() bool {
-	return a.uploadStage.CompareAndSwap(uploadOpen, uploadLastWrite)
+	return a.uploadStage.CompareAndSwap(uploadOpen, uploadLastWrite) || a.uploadStage.Load() == uploadLastWrite
 }
 
 // waitReadable waits until reading the response would not block. It reports false if nothing has arrived by
@@ -274,11 +274,9 @@
 	}
 	result := t.receiveResponse(a)
 	if a.uploadDone != nil {
-		if a.message.rest.cancel(); !a.uploadComplete.Load() && result.status == garnettide.Reset {
-			result.status = garnettide.ConnectFailed // the last byte was not sent
-			if a.uploadAborted.Load() {
-				result.status = garnettide.NotSent // not the upstream's fault
-			}
+		a.message.rest.cancel()
+		if result.status == garnettide.Reset {
+			result.status = a.resetUploadStatus()
 		}
 	}
 	return result
@@ -339,17 +337,17 @@
 	unsent := u.length - int64(len(a.message.body))
 	for {
 		n, err := u.reader.Read(p.data())
-		unsent -= int64(n)
-		if n > 0 && unsent == 0 && !a.beginLastWrite() {
+		unsent -= int64(n) // stays below 0 in chunks
+		if unsent == 0 && !a.beginLastWrite() {
 			break
 		}
 		if n > 0 && writeFully(a.uploadConn, p.framed(n, inChunks)) != nil {
 			break // the upstream may have responded early, which the reader detects
 		}
-		if err == io.EOF {
-			if inChunks && (!a.beginLastWrite() || writeFully(a.uploadConn, []byte(lastChunk)) != nil) {
-				break
-			}
+		if inChunks && err == io.EOF && (!a.beginLastWrite() || writeFully(a.uploadConn, []byte(lastChunk)) != nil) {
+			break
+		}
+		if unsent == 0 || err == io.EOF {
 			a.uploadComplete.Store(true)
 			return
 		} else if err != nil {
@@ -391,6 +389,20 @@
 	return a.uploadComplete.Load()
 }
 
+// resetUploadStatus returns the status of a streaming request whose connection is closed and whose body is
+// cancelled. It waits for the upload to end, as the write of the last byte may be about to return.
+func (a *attempt) resetUploadStatus() garnettide.Status {
+	<-a.uploadDone
+	switch {
+	case a.uploadComplete.Load():
+		return garnettide.Reset
+	case a.uploadAborted.Load():
+		return garnettide.NotSent // not the upstream's fault
+	default:
+		return garnettide.ConnectFailed // the last byte was not sent
+	}
+}
+
 // receiveResponse reads the response to an attempt or a probe. A successful response that does not fit the
 // buffers, or whose end is not known in time, is streamed to the client instead. An attempt
 // with a malformed response counts as executed, and its connection is closed.
