--- /dev/null
+++ b/internal/proxy/client.go
@@ -0,0 +1,116 @@
+package proxy
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// This file holds the connections of clients.
+
+const (
+	// minReadWait is the time from which a read counts as having waited for the client: nothing was left to read.
+	minReadWait = time.Millisecond
+
+	// clientLingerTimeout and maxClientLingerBytes limit how long and how much is read and discarded after
+	// a request was refused. Closing at once would reset the connection, and the client could lose the
+	// response.
+	clientLingerTimeout  = 300 * time.Millisecond
+	maxClientLingerBytes = 256 << 10
+	// earlyResponseLingerTimeout applies when the response was sent before the whole body had arrived: the
+	// client may read it only after sending the body.
+	earlyResponseLingerTimeout = 2 * time.Second
+)
+
+// clientStage is the state of a client's connection.
+type clientStage uint8
+
+const (
+	clientReading clientStage = iota // waiting for or reading a request, or refusing it
+	clientIdle                       // between requests
+	clientServing                    // a request is in flight
+	clientEvicted                    // closed by the frontend
+)
+
+// timedConn limits the time spent waiting for a client's bytes while a request is read.
+type timedConn struct {
+	net.Conn
+	limited     bool          // false: Read sets no deadline
+	readingBody bool          // bytes read extend the remaining time
+	remaining   time.Duration // time that reads may still take
+	stopped     atomic.Bool   // reads fail at once
+	lastRead    atomic.Int64  // when bytes were last read, in Unix nanoseconds
+	awaitedAt   atomic.Int64  // when the last read that had to wait for the client ended, in Unix nanoseconds
+}
+
+// Read reads from the connection. If limited is set, it fails with a timeout once remaining is used up.
+func (c *timedConn) Read(b []byte) (int, error) {
+	if !c.limited {
+		return c.Conn.Read(b)
+	}
+	start := time.Now()
+	c.Conn.SetReadDeadline(start.Add(c.remaining))
+	if c.stopped.Load() { // checked after the deadline is set, which may have overwritten the one set by stop
+		c.Conn.SetReadDeadline(time.Unix(0, 1))
+	}
+	n, err := c.Conn.Read(b)
+	end := time.Now()
+	if n > 0 {
+		c.lastRead.Store(end.UnixNano())
+	}
+	if end.Sub(start) >= minReadWait {
+		c.awaitedAt.Store(end.UnixNano())
+	}
+	c.remaining -= end.Sub(start)
+	if c.readingBody {
+		c.remaining = min(c.remaining+time.Duration(n)*time.Second/minClientBodyRate, requestHeadTimeout)
+	}
+	if err != nil {
+		c.remaining = 0 // bufio reads again after an error within a line, which must not start a new wait
+	}
+	return n, err
+}
+
+// stop makes current and later reads fail with a timeout. It may be called from any goroutine.
+func (c *timedConn) stop() {
+	c.stopped.Store(true)
+	c.Conn.SetReadDeadline(time.Unix(0, 1))
+}
+
+// client is a client's connection. frontend.mu guards stage, stageSince and requestStarted.
+type client struct {
+	*httpConn
+	timed          *timedConn
+	acceptedAt     time.Time
+	requestStarted bool // bytes of a request have arrived
+	stage          clientStage
+	stageSince     time.Time // when the stage was entered
+}
+
+// stalled returns how long c has made no progress. A connection that has sent nothing for noDataEvictAfter
+// ranks above all that have sent something.
+func (c *client) stalled(now time.Time) time.Duration {
+	last := c.stageSince
+	if lastRead := time.Unix(0, c.timed.lastRead.Load()); lastRead.After(last) {
+		last = lastRead
+	}
+	stalled := now.Sub(last)
+	if c.stage == clientReading && !c.requestStarted && stalled >= noDataEvictAfter {
+		stalled += clientIdleTimeout
+	}
+	return stalled
+}
+
+// lingeringClose closes a TCP connection for writing, then reads and discards what the client still sends,
+// until the client closes it, wait is over or limit bytes have been read.
+func (c *client) lingeringClose(wait time.Duration, limit int64) {
+	if tcp, ok := c.timed.Conn.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+		tcp.SetReadDeadline(time.Now().Add(wait))
+		p := bodyBuffers.Get().(*bodyBuffer)
+		defer bodyBuffers.Put(p)
+		for n, err := 0, error(nil); err == nil && limit > 0; limit -= int64(n) {
+			n, err = tcp.Read(p.data())
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/client_response.go
@@ -0,0 +1,133 @@
+package proxy
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// This file writes responses to clients.
+
+// clientResponse is a response to a client.
+type clientResponse struct {
+	status         int
+	body           []byte
+	contentType    string
+	retryAfter     time.Duration
+	responseStream *responseStream // a streamed response's body; nil: body holds all of it
+}
+
+// refuse responds to a request that can't be served. The caller then closes the connection, because the
+// start of the client's next request is unknown. Connection errors get no response.
+func (f *frontend) refuse(c *client, err error) {
+	if !f.setStage(c, clientReading) {
+		return
+	}
+	r := &refusal{http.StatusBadRequest, err.Error()}
+	if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+		r = &refusal{http.StatusRequestTimeout, "the request did not come whole in time"}
+	} else if errors.Is(err, errHeadTooLong) {
+		r.status = http.StatusRequestHeaderFieldsTooLarge
+	} else if !errors.As(err, &r) && !errors.Is(err, errMalformedHead) && !errors.Is(err, errAmbiguousFraming) {
+		return
+	}
+	if c.writeResponse(clientResponse{status: r.status, body: []byte(r.reason + "\n"),
+		contentType: "text/plain"}, true) != nil {
+		return
+	}
+	c.lingeringClose(clientLingerTimeout, maxClientLingerBytes)
+}
+
+// renderHead returns a response's status line and header. framing is the header line that tells how the body
+// ends. closing adds "Connection: close".
+func renderHead(resp clientResponse, framing string, closing bool) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n%s", resp.status, http.StatusText(resp.status), framing)
+	if resp.contentType != "" {
+		fmt.Fprintf(&b, "Content-Type: %s\r\n", resp.contentType)
+	}
+	if resp.retryAfter > 0 {
+		fmt.Fprintf(&b, "Retry-After: %.3f\r\n", resp.retryAfter.Seconds())
+	}
+	if closing {
+		b.WriteString("Connection: close\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// writeResponse writes a buffered response. On an error the client has closed or can tell that the response
+// is incomplete.
+func (c *client) writeResponse(resp clientResponse, closing bool) error {
+	b := renderHead(resp, fmt.Sprintf("Content-Length: %d\r\n", len(resp.body)), closing)
+	if len(resp.body) <= bodyBufferSize {
+		return writeFully(c, append(b, resp.body...))
+	}
+	if err := writeFully(c, b); err != nil {
+		return err
+	}
+	return writeFully(c, resp.body)
+}
+
+// forwardResponse streams a response to the client and sends the result to r.done. If it fails, the client can
+// tell that the response is incomplete.
+func (c *client) forwardResponse(r *responseStream, contentType string, closing bool, w *clientWatcher) error {
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case err := <-w.readDone:
+			w.readDone <- err
+			if err != nil && !errors.Is(err, errBodyUnwanted) { // the client has closed, so the response has no reader
+				r.conn.Close()
+			}
+		case <-done:
+		}
+	}()
+	err := c.writeStream(r, contentType, closing)
+	r.done <- err
+	return err
+}
+
+// writeStream writes a streamed response's head, the buffered part of its body, and the rest as it is read
+// from the upstream.
+func (c *client) writeStream(r *responseStream, contentType string, closing bool) error {
+	chunked := r.length < 0
+	framing := "Transfer-Encoding: chunked\r\n"
+	if !chunked {
+		framing = fmt.Sprintf("Content-Length: %d\r\n", r.length)
+	}
+	if err := writeFully(c, renderHead(clientResponse{status: http.StatusOK, contentType: contentType}, framing,
+		closing)); err != nil {
+		return err
+	}
+	p := bodyBuffers.Get().(*bodyBuffer)
+	defer bodyBuffers.Put(p)
+	for buffered := r.buffered; len(buffered) > 0; {
+		n := copy(p.data(), buffered)
+		buffered = buffered[n:]
+		if err := writeFully(c, p.framed(n, chunked)); err != nil {
+			return err
+		}
+	}
+	for {
+		r.conn.SetReadDeadline(time.Now().Add(bodyIdleTimeout))
+		n, err := r.body.Read(p.data())
+		if n > 0 {
+			if err := writeFully(c, p.framed(n, chunked)); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF && chunked {
+			return writeFully(c, []byte(lastChunk))
+		} else if err == io.EOF {
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
+}
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -15,7 +15,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -360,96 +359,3 @@
 	}
 	return bytes.Clone(b.Bytes()), tail
 }
-
-// upload is the streamed part of a request's body. The frontend writes it into a pipe that a single attempt
-// reads, so that the client is read no faster than the upstream.
-type upload struct {
-	body     io.Reader // reads from the client's connection
-	length   int64     // of the whole body; -1: chunked
-	reader   *io.PipeReader
-	writer   *io.PipeWriter
-	client   net.Conn              // the client's connection, checked for a close
-	started  atomic.Bool           // an attempt has begun to read it, so no other one can
-	complete bool                  // set by the frontend when the last byte has arrived
-	failure  atomic.Pointer[error] // passed to fail
-	received atomic.Int64          // bytes of the body that have been read from the client
-	arrivals bodyArrivals
-	// blocked is set while the frontend waits for an attempt to take bytes. It stays set once the rest is not needed.
-	blocked atomic.Bool
-}
-
-// write passes bytes to the attempt that reads the body, and waits until it has taken them.
-func (u *upload) write(b []byte) error {
-	u.blocked.Store(true)
-	_, err := u.writer.Write(b)
-	if err == nil {
-		u.blocked.Store(false)
-	}
-	return err
-}
-
-// recordArrivals notes how much of the body has arrived by now, read or not.
-func (u *upload) recordArrivals(now time.Time) {
-	u.arrivals.record(now, u.received.Load()+unreadBytes(u.client))
-}
-
-// fail ends the body with an error of the client's, for the attempt that reads it.
-func (u *upload) fail(err error) {
-	u.failure.Store(&err)
-	u.writer.CloseWithError(err)
-}
-
-// clientErr returns the error passed to fail, if any. u may be nil.
-func (u *upload) clientErr() error {
-	if u == nil {
-		return nil
-	}
-	if err := u.failure.Load(); err != nil {
-		return *err
-	}
-	return nil
-}
-
-// errBodyUnwanted is returned to the frontend's writes when the rest of a body is not needed.
-var errBodyUnwanted = errors.New("rest of the request body not needed")
-
-// errClientClosed is returned to the frontend's writes when the client has closed its connection after body
-// bytes that have not been read.
-var errClientClosed = errors.New("client closed its connection")
-
-// clientClosed reports whether the client has closed its connection, and if so fails the frontend's writes.
-// Reading can't detect a close behind body bytes, which are not read until an attempt needs them. The state
-// of the TCP connection shows it, unless the unread bytes exceed the receive buffer.
-func (u *upload) clientClosed() bool {
-	if !closedByPeer(u.client) {
-		return false
-	}
-	u.reader.CloseWithError(errClientClosed)
-	return true
-}
-
-// States of a TCP connection that the peer has ended, as numbered in Linux's include/net/tcp_states.h.
-const (
-	tcpClose     = 7 // after a reset
-	tcpCloseWait = 8 // after a close
-	tcpStateMask = 0xff
-)
-
-// closedByPeer reports whether the peer has closed or reset a connection, without blocking or reading.
-func closedByPeer(c net.Conn) bool {
-	raw, err := c.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	state := 0
-	err = raw.Control(func(fd uintptr) {
-		info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO) // its first byte is the state
-		if err == nil {
-			state = info & tcpStateMask
-		}
-	})
-	return err != nil || state == tcpClose || state == tcpCloseWait
-}
-
-// cancel fails the frontend's writes because the rest is not needed. It has no effect after the last byte.
-func (u *upload) cancel() { u.reader.CloseWithError(errBodyUnwanted) }
--- /dev/null
+++ b/internal/proxy/upload.go
@@ -0,0 +1,214 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"garnettide"
+)
+
+// This file streams the bodies of requests that exceed the buffer: from the client into a pipe, and from there to
+// the upstream of one attempt.
+
+// upload is the streamed part of a request's body. The frontend writes it into a pipe that a single attempt
+// reads, so that the client is read no faster than the upstream.
+type upload struct {
+	body     io.Reader // reads from the client's connection
+	length   int64     // of the whole body; -1: chunked
+	reader   *io.PipeReader
+	writer   *io.PipeWriter
+	client   net.Conn              // the client's connection, checked for a close
+	started  atomic.Bool           // an attempt has begun to read it, so no other one can
+	complete bool                  // set by the frontend when the last byte has arrived
+	failure  atomic.Pointer[error] // passed to fail
+	received atomic.Int64          // bytes of the body that have been read from the client
+	arrivals bodyArrivals
+	// blocked is set while the frontend waits for an attempt to take bytes. It stays set once the rest is not needed.
+	blocked atomic.Bool
+}
+
+// write passes bytes to the attempt that reads the body, and waits until it has taken them.
+func (u *upload) write(b []byte) error {
+	u.blocked.Store(true)
+	_, err := u.writer.Write(b)
+	if err == nil {
+		u.blocked.Store(false)
+	}
+	return err
+}
+
+// recordArrivals notes how much of the body has arrived by now, read or not.
+func (u *upload) recordArrivals(now time.Time) {
+	u.arrivals.record(now, u.received.Load()+unreadBytes(u.client))
+}
+
+// fail ends the body with an error of the client's, for the attempt that reads it.
+func (u *upload) fail(err error) {
+	u.failure.Store(&err)
+	u.writer.CloseWithError(err)
+}
+
+// clientErr returns the error passed to fail, if any. u may be nil.
+func (u *upload) clientErr() error {
+	if u == nil {
+		return nil
+	}
+	if err := u.failure.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// errBodyUnwanted is returned to the frontend's writes when the rest of a body is not needed.
+var errBodyUnwanted = errors.New("rest of the request body not needed")
+
+// errClientClosed is returned to the frontend's writes when the client has closed its connection after body
+// bytes that have not been read.
+var errClientClosed = errors.New("client closed its connection")
+
+// clientClosed reports whether the client has closed its connection, and if so fails the frontend's writes.
+// Reading can't detect a close behind body bytes, which are not read until an attempt needs them. The state
+// of the TCP connection shows it, unless the unread bytes exceed the receive buffer.
+func (u *upload) clientClosed() bool {
+	if !closedByPeer(u.client) {
+		return false
+	}
+	u.reader.CloseWithError(errClientClosed)
+	return true
+}
+
+// States of a TCP connection that the peer has ended, as numbered in Linux's include/net/tcp_states.h.
+const (
+	tcpClose     = 7 // after a reset
+	tcpCloseWait = 8 // after a close
+	tcpStateMask = 0xff
+)
+
+// closedByPeer reports whether the peer has closed or reset a connection, without blocking or reading.
+func closedByPeer(c net.Conn) bool {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	state := 0
+	err = raw.Control(func(fd uintptr) {
+		info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO) // its first byte is the state
+		if err == nil {
+			state = info & tcpStateMask
+		}
+	})
+	return err != nil || state == tcpClose || state == tcpCloseWait
+}
+
+// cancel fails the frontend's writes because the rest is not needed. It has no effect after the last byte.
+func (u *upload) cancel() { u.reader.CloseWithError(errBodyUnwanted) }
+
+// The stages of an upload. The loop may abandon one whose last byte is not being written.
+const (
+	uploadOpen      int32 = iota
+	uploadAbandoned       // the last byte will not be written
+	uploadLastWrite       // the last byte is being written or has been
+)
+
+// uploadConn is a connection to an upstream to which a body is streamed.
+type uploadConn struct {
+	net.Conn
+	stopped atomic.Bool // writes fail at once
+}
+
+// SetWriteDeadline sets the deadline of writes, unless stop has been called.
+func (c *uploadConn) SetWriteDeadline(at time.Time) error {
+	err := c.Conn.SetWriteDeadline(at)
+	if c.stopped.Load() { // checked after the deadline is set, which may have overwritten the one set by stop
+		return c.Conn.SetWriteDeadline(time.Unix(0, 1))
+	}
+	return err
+}
+
+// stop makes current and later writes fail with a timeout. It may be called from any goroutine.
+func (c *uploadConn) stop() {
+	c.stopped.Store(true)
+	c.Conn.SetWriteDeadline(time.Unix(0, 1))
+}
+
+// abandonUpload prevents the last byte of a streaming request from being written, and reports whether it did.
+func (a *attempt) abandonUpload() bool {
+	return a.uploadDone != nil && a.uploadStage.CompareAndSwap(uploadOpen, uploadAbandoned)
+}
+
+// beginLastWrite reports whether the last byte of a streaming request may be written.
+func (a *attempt) beginLastWrite() bool {
+	return a.uploadStage.CompareAndSwap(uploadOpen, uploadLastWrite) || a.uploadStage.Load() == uploadLastWrite
+}
+
+// upload streams the rest of the request's body to the upstream. If the client fails to send it, the
+// connection is closed, so that the upstream does not accept a truncated request. afterChunk tells that the
+// data of an open chunk precedes it.
+func (a *attempt) upload(u *upload, afterChunk bool) {
+	defer close(a.uploadDone)
+	p := bodyBuffers.Get().(*bodyBuffer)
+	defer bodyBuffers.Put(p)
+	inChunks := u.length < 0
+	if inChunks && afterChunk {
+		io.WriteString(a.uploadConn, "\r\n") // ends the buffered chunk; an error shows in the next write
+	}
+	unsent := u.length - int64(len(a.message.body))
+	for {
+		n, err := u.reader.Read(p.data())
+		unsent -= int64(n) // stays below 0 in chunks
+		if unsent == 0 && !a.beginLastWrite() {
+			break
+		}
+		if n > 0 && writeFully(a.uploadConn, p.framed(n, inChunks)) != nil {
+			break // the upstream may have responded early, which the reader detects
+		}
+		if inChunks && err == io.EOF && (!a.beginLastWrite() || writeFully(a.uploadConn, []byte(lastChunk)) != nil) {
+			break
+		}
+		if unsent == 0 || err == io.EOF {
+			a.uploadComplete.Store(true)
+			return
+		} else if err != nil {
+			if !errors.Is(err, io.ErrClosedPipe) { // the body was not cancelled by a response
+				a.uploadAborted.Store(true)
+				a.conn.Close()
+			}
+			break
+		}
+	}
+	u.cancel()
+}
+
+// finishUpload ends the upload when the response begins, and reports whether the whole request has been
+// written. If not, the response is early and the upload is cancelled.
+func (a *attempt) finishUpload() bool {
+	if a.uploadDone == nil {
+		return true
+	}
+	select {
+	case <-a.uploadDone:
+	case <-time.After(uploadDoneTimeout): // the last write may be about to return
+		a.message.rest.cancel()
+		a.uploadConn.stop()
+		<-a.uploadDone
+	}
+	return a.uploadComplete.Load()
+}
+
+// resetUploadStatus returns the status of a streaming request whose connection is closed and whose body is
+// cancelled. It waits for the upload to end, as the write of the last byte may be about to return.
+func (a *attempt) resetUploadStatus() garnettide.Status {
+	<-a.uploadDone
+	switch {
+	case a.uploadComplete.Load():
+		return garnettide.Reset
+	case a.uploadAborted.Load():
+		return garnettide.NotSent // not the upstream's fault
+	default:
+		return garnettide.ConnectFailed // the last byte was not sent
+	}
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -92,34 +92,6 @@
 	attemptWritten
 )
 
-// The stages of an upload. The loop may abandon one whose last byte is not being written.
-const (
-	uploadOpen      int32 = iota
-	uploadAbandoned       // the last byte will not be written
-	uploadLastWrite       // the last byte is being written or has been
-)
-
-// uploadConn is a connection to an upstream to which a body is streamed.
-type uploadConn struct {
-	net.Conn
-	stopped atomic.Bool // writes fail at once
-}
-
-// SetWriteDeadline sets the deadline of writes, unless stop has been called.
-func (c *uploadConn) SetWriteDeadline(at time.Time) error {
-	err := c.Conn.SetWriteDeadline(at)
-	if c.stopped.Load() { // checked after the deadline is set, which may have overwritten the one set by stop
-		return c.Conn.SetWriteDeadline(time.Unix(0, 1))
-	}
-	return err
-}
-
-// stop makes current and later writes fail with a timeout. It may be called from any goroutine.
-func (c *uploadConn) stop() {
-	c.stopped.Store(true)
-	c.Conn.SetWriteDeadline(time.Unix(0, 1))
-}
-
 // attempt is one send of a request to an upstream.
 type attempt struct {
 	req                *request
@@ -168,16 +140,6 @@
 	a.setReadDeadline(time.Unix(0, 1))
 }
 
-// abandonUpload prevents the last byte of a streaming request from being written, and reports whether it did.
-func (a *attempt) abandonUpload() bool {
-	return a.uploadDone != nil && a.uploadStage.CompareAndSwap(uploadOpen, uploadAbandoned)
-}
-
-// beginLastWrite reports whether the last byte of a streaming request may be written.
-func (a *attempt) beginLastWrite() bool {
-	return a.uploadStage.CompareAndSwap(uploadOpen, uploadLastWrite) || a.uploadStage.Load() == uploadLastWrite
-}
-
 // waitReadable waits until reading the response would not block. It reports false if nothing has arrived by
 // the given time.
 func (a *attempt) waitReadable(until time.Time) bool {
@@ -323,44 +285,6 @@
 	return nil
 }
 
-// upload streams the rest of the request's body to the upstream. If the client fails to send it, the
-// connection is closed, so that the upstream does not accept a truncated request. afterChunk tells that the
-// data of an open chunk precedes it.
-func (a *attempt) upload(u *upload, afterChunk bool) {
-	defer close(a.uploadDone)
-	p := bodyBuffers.Get().(*bodyBuffer)
-	defer bodyBuffers.Put(p)
-	inChunks := u.length < 0
-	if inChunks && afterChunk {
-		io.WriteString(a.uploadConn, "\r\n") // ends the buffered chunk; an error shows in the next write
-	}
-	unsent := u.length - int64(len(a.message.body))
-	for {
-		n, err := u.reader.Read(p.data())
-		unsent -= int64(n) // stays below 0 in chunks
-		if unsent == 0 && !a.beginLastWrite() {
-			break
-		}
-		if n > 0 && writeFully(a.uploadConn, p.framed(n, inChunks)) != nil {
-			break // the upstream may have responded early, which the reader detects
-		}
-		if inChunks && err == io.EOF && (!a.beginLastWrite() || writeFully(a.uploadConn, []byte(lastChunk)) != nil) {
-			break
-		}
-		if unsent == 0 || err == io.EOF {
-			a.uploadComplete.Store(true)
-			return
-		} else if err != nil {
-			if !errors.Is(err, io.ErrClosedPipe) { // the body was not cancelled by a response
-				a.uploadAborted.Store(true)
-				a.conn.Close()
-			}
-			break
-		}
-	}
-	u.cancel()
-}
-
 // writeFully writes all of b. It fails with a timeout once the peer accepts nothing for bodyIdleTimeout.
 func writeFully(c net.Conn, b []byte) error {
 	for {
@@ -373,36 +297,6 @@
 	}
 }
 
-// finishUpload ends the upload when the response begins, and reports whether the whole request has been
-// written. If not, the response is early and the upload is cancelled.
-func (a *attempt) finishUpload() bool {
-	if a.uploadDone == nil {
-		return true
-	}
-	select {
-	case <-a.uploadDone:
-	case <-time.After(uploadDoneTimeout): // the last write may be about to return
-		a.message.rest.cancel()
-		a.uploadConn.stop()
-		<-a.uploadDone
-	}
-	return a.uploadComplete.Load()
-}
-
-// resetUploadStatus returns the status of a streaming request whose connection is closed and whose body is
-// cancelled. It waits for the upload to end, as the write of the last byte may be about to return.
-func (a *attempt) resetUploadStatus() garnettide.Status {
-	<-a.uploadDone
-	switch {
-	case a.uploadComplete.Load():
-		return garnettide.Reset
-	case a.uploadAborted.Load():
-		return garnettide.NotSent // not the upstream's fault
-	default:
-		return garnettide.ConnectFailed // the last byte was not sent
-	}
-}
-
 // receiveResponse reads the response to an attempt or a probe. A successful response that does not fit the
 // buffers, or whose end is not known in time, is streamed to the client instead. An attempt
 // with a malformed response counts as executed, and its connection is closed.
