--- a/balancer.go
+++ b/balancer.go
@@ -1,7 +1,8 @@
 // The handling of requests: classification, choice of an upstream, retries, queueing and shedding,
 // concurrency limits and the periodic timer. The other files of the Balancer are bands.go (saturation
 // detection), subset.go (choice of a subset of the upstreams), slowstart.go (cold upstreams), discovery.go
-// (calls of discovery and its lists) and state.go (types, tenant quotas and changes of settings).
+// (calls of discovery and its lists) and state.go (types, tenant quotas and changes of settings). The files
+// in docs/incidents tell why many of the rules are as they are.
 
 package garnettide
 
@@ -23,14 +24,14 @@
 // Concurrency limits, in attempts in flight at one upstream. Fleet limits are totals over all balancers.
 const (
 	initialFleetLimit      = 3.0
-	minFleetLimit          = 0.25 // a limit below one means pauses between attempts
-	maxFleetLimit          = 6.0
+	minFleetLimit          = 0.25 // a limit below one means pauses, in which an overloaded upstream recovers
+	maxFleetLimit          = 6.0  // a longer backlog overloads an upstream
 	limitCutFactor         = 0.8  // on a slow answer; applied twice on a rejection or timeout
 	limitGrowth            = 0.02 // on a fast answer, times the square of its headroom below the latency target
 	lowLatencyRatio        = 1.5  // to the minimum latency: an answer below it saw no queue at the upstream
-	highLatencyRatio       = 1.6  // to the baseline latency: above it the upstream is overloaded
-	highLatencyTargetShare = 0.5  // share of the latency target below which no latency counts as overload
-	fullUtil               = 0.8  // mean utilisation from which an upstream counts as fully used
+	highLatencyRatio       = 1.6  // to the baseline latency: above it the upstream is overloaded or faulty
+	highLatencyTargetShare = 0.5  // share of the latency target below which latency harms nobody
+	fullUtil               = 0.8  // mean utilisation from which more attempts in flight gain nothing
 )
 
 // Retries, queueing and the weighted round robin of the upstreams.
@@ -38,9 +39,9 @@
 	responseTimeoutDevs = 5.0  // mean deviations over the usual latency after which an answer is late
 	minOvertakes        = 2    // later attempts that were answered first, for an attempt to count as lost
 	lateAnswerAllowance = 2.0  // in response timeouts: extra wait for a late answer, times lateAnswerRatio
-	latencyMargin       = 2.33 // time reserved for an answer before the latency target, in mean latencies
+	latencyMargin       = 2.33 // mean latencies kept before the latency target by the class of least worth
 	maxMissedTurns      = 1.0  // missed turns that an upstream may catch up on
-	backoffGrowth       = 2    // factor between successive waits
+	backoffGrowth       = 2    // factor between waits for trials, failed connections and discovery calls
 )
 
 // Timers.
@@ -168,7 +169,7 @@
 
 // send starts an attempt of req at u.
 func (b *Balancer) send(req *request, u *upstream, now time.Duration) {
-	timeout := time.Duration(0) // none: a long request is not restarted
+	timeout := time.Duration(0) // none: half-done work is worth more than work that is begun again
 	if u.unresponsive {
 		u.nextTrialAt = now + u.backoff
 		u.backoff = min(u.backoff*backoffGrowth, max(u.backoff, b.config.Requirements.WarmupTime))
@@ -215,8 +216,8 @@
 }
 
 // finish marks r as done and forgets it once no attempt is in flight. A request that was never sent no longer
-// counts against the quota. Attempts in flight are not cancelled: the upstreams would continue to work on
-// them while their slots are filled with more work.
+// counts against the quota: the client's next try is the same request. Attempts in flight are not cancelled:
+// the upstreams would continue to work on them while their slots are filled with more work.
 func (b *Balancer) finish(r *request) {
 	if t := r.tenant; t != nil && !r.done && !r.overQuota && len(r.attempts) == 0 {
 		t.level = max(0, t.level-1)
@@ -303,7 +304,7 @@
 	case OK:
 		weight := max(smoothing, 1-u.limit) // larger where answers are rare
 		u.answers++
-		updateMean(&u.latencyDev, math.Abs(float64(o.Latency)-u.latency), weight)
+		updateMean(&u.latencyDev, math.Abs(float64(o.Latency)-u.latency), weight) // at first the latency itself
 		updateMean(&u.latency, float64(o.Latency), weight)
 		updateMean(&u.workUnits, max(req.workUnits, 0.5), weight) // small requests have a fixed cost too
 		updateMean(&b.latency, float64(o.Latency), smoothing)
@@ -340,7 +341,7 @@
 			u.backoff = min(u.backoff*backoffGrowth, b.config.Requirements.WarmupTime)
 		}
 	}
-	p := b.pause(u) // an upstream that was idle for long may take one attempt without a pause
+	p := b.pause(u) // arrivals are random: an upstream that was idle for long may take one without a pause
 	u.pausedUntil = max(u.pausedUntil, min(now, max(u.pausedUntil, a.sentAt-p)+now-a.sentAt)+p)
 	if b.config.Reports != ReportInProbes {
 		b.recordLoad(u, o.Load, o.Status == OK, float64(o.Latency)/float64(req.class.LatencyTarget), now)
@@ -430,7 +431,7 @@
 // --- Eligibility ---
 
 // responseTimeout returns how long u may take for a request of workUnits before the answer counts as late.
-// Its lower bound is a multiple of the mean latency of all upstreams.
+// Its lower bound is a multiple of the mean latency of all upstreams, as one fast answer of u tells little.
 func (b *Balancer) responseTimeout(u *upstream, workUnits float64) time.Duration {
 	expected := max(u.latency+responseTimeoutDevs*u.latencyDev, (1+responseTimeoutDevs/2)*b.latency)
 	return time.Duration(expected*max(1, workUnits)) + b.tickInterval
--- a/bands.go
+++ b/bands.go
@@ -13,12 +13,12 @@
 const (
 	bandPeriod         = time.Second // period over which band widths are integrated; shares change at its end
 	bandWindow         = 8           // utilisation readings in the moving window of an upstream
-	bandHalfWidth      = 2.0         // distance of a band from the mean, in standard deviations
+	bandHalfWidth      = 2.0         // distance of a band from the mean, in standard deviations, as usual for these bands
 	minExcessUtil      = 0.5         // mean utilisation that never counts as excess over the fleet
-	minBandArea        = 0.4         // area up to which no upstream counts as saturated
+	minBandArea        = 0.4         // area up to which no upstream counts as saturated: a deviation of 0.1 is noise
 	saturatedAreaRatio = 1.25        // to the median area: an upstream above it is saturated
-	minCutFactor       = 0.8         // largest cut of a share in one period, as a factor
-	shareRestoreFactor = 1.04        // growth of a cut share in one period
+	minCutFactor       = 0.8         // largest cut of a share in one period, as a factor: load reports lag behind
+	shareRestoreFactor = 1.04        // growth of a cut share in one period, slower than a cut
 	minShareFactor     = 0.1         // smallest share left after cuts, as a factor
 )
 
@@ -103,7 +103,8 @@
 			u.shareFactor = min(1, u.shareFactor*shareRestoreFactor)
 		}
 		u.limit = min(u.limit, b.initialLimit*maxFleetLimit/initialFleetLimit)
-		u.bandArea, u.maxLimit = 0, max(2*u.limit, initialFleetLimit) // load reports lag behind the growth of the limit
+		// Without this bound a limit grew tenfold before a load report showed that the upstream was fully used.
+		u.bandArea, u.maxLimit = 0, max(2*u.limit, initialFleetLimit)
 	}
 	updateMean(&b.sendRate, b.periodSends/bandPeriod.Seconds(), periodSmoothing)
 	b.periodSends = 0
--- a/discovery.go
+++ b/discovery.go
@@ -10,10 +10,10 @@
 // Timing of discovery calls, and detection of draining upstreams while the list is unconfirmed.
 const (
 	discoveryCallTime = 60 * time.Millisecond // time in which discovery serves one call
-	firstCallShare    = 0.7                   // share of the call round over which the first calls are spread
+	firstCallShare    = 0.7                   // share of the call round of the first calls: not all balancers are new at once
 	maxNotifyDelay    = 6 * time.Second       // time within which a balancer has to learn of a change in discovery
 	minCallReserve    = time.Second           // smallest part of maxNotifyDelay that is reserved for the next call
-	maxCallReserve    = 2 * time.Second       // largest part; within these bounds, as long as the failed call took
+	maxCallReserve    = 2 * time.Second       // largest part: discovery fails a call by then; between, as the failed call took
 	longPollThreshold = 7 * time.Second / 2   // a failed call that took longer counts as served and waiting for changes
 
 	rejectionLimit    = 2 // consecutive rejections after which an upstream is presumed to drain
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -23,7 +23,8 @@
 const (
 	// discoveryWatchTimeout is how long discovery may hold a watch call while nothing changes, on average. Each
 	// call draws a random time within a fifth of it, so that balancers that were started together do not
-	// reconnect at the same time after their watches have gone silent.
+	// reconnect at the same time after their watches have gone silent. With shorter times their calls would meet
+	// those that follow a change which other balancers' watches have been told.
 	discoveryWatchTimeout = 10 * time.Second
 	discoveryCallTimeout  = 3 * time.Second // for calls that are not held; discovery fails them earlier
 	// discoveryConnectTimeout limits the time to connect to discovery. Without it a watch call would wait for
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -21,7 +21,7 @@
 	idleCloseMargin = 5 * time.Second
 	// lateResponseTimeout and maxLateResponses limit, in time and in number per upstream, the connections that
 	// stay open for a response that no client waits for any more. Reading the late response allows the
-	// connection to be reused.
+	// connection to be reused, which saves opening another. Upstreams that hang never send one.
 	lateResponseTimeout = 3 * time.Second
 	maxLateResponses    = 4
 	// idleSweepInterval is the time between two checks for expired idle connections.
@@ -271,7 +271,7 @@
 
 func (e requestReceived) apply(l *loop) {
 	r := e.request
-	if l.openIDs[r.clientRequestID] { // the upstream could not tell the two requests apart
+	if l.openIDs[r.clientRequestID] { // the upstream could not tell the two apart; the earlier one goes on
 		r.closed = true
 		l.memory.free(r.message.body)
 		r.responseCh <- clientResponse{status: http.StatusConflict}
@@ -816,7 +816,7 @@
 	case update.err != nil:
 		l.Log(update.err.Error())
 		l.balancer.Members(l.now(), garnettide.ListFailed, nil)
-	case update.Revision < l.revision: // a newer list has been applied
+	case update.Revision < l.revision: // a newer list has been applied, which this one must not undo
 		l.Log(fmt.Sprintf("discovery: ignoring revision %d, already at %d", update.Revision, l.revision))
 	case update.Complete:
 		l.listReceived = true
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -29,7 +29,7 @@
 
 	maxBufferedBody = 64 << 10 // bytes of a body kept in memory; only a fully buffered body can be sent again
 	maxBodyBytes    = 32 << 20 // a whole body, buffered and streamed parts together
-	bodyBufferSize  = 16 << 10 // bytes of a streamed body per read and write
+	bodyBufferSize  = 16 << 10 // bytes of a streamed body per read and write: few calls, and hundreds of buffers fit
 	minBodyBuffer   = 1 << 10  // bytes first allocated for a buffered body
 )
 
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -19,7 +19,7 @@
 
 const (
 	// reloadSlice is how long a reload works before it pauses for the same time. The process has one core, so
-	// the loop may have to wait for the end of a slice.
+	// the loop may have to wait for the end of a slice; 3.6 ms is all that may be added to a request.
 	reloadSlice = 250 * time.Microsecond
 	// configChunkSize is how much of the file is read or hashed between two checks of the time.
 	configChunkSize   = 32 << 10
@@ -176,7 +176,7 @@
 
 // Follow reads the configuration again on each signal from hangups and sends it to reloads, until ctx ends.
 // An invalid or unreadable configuration is logged and the current one stays in force. Signals that arrive
-// in the meantime cause one more reading. Each configuration is in force before the next one is read.
+// in the meantime cause one more reading. Each configuration is in force before the next one is read, so the newest counts.
 func (r *Reloader) Follow(ctx context.Context, hangups <-chan os.Signal, reloads chan<- Reload) {
 	for {
 		if r.pendingSince.IsZero() {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -23,12 +23,14 @@
 
 const (
 	// responseBufferTime is how long a response of unknown length is buffered, from the end of its head. An
-	// attempt whose response is still buffered can be retried if the connection breaks.
+	// attempt whose response is still buffered can be retried if the connection breaks. A short response is
+	// complete by then; of a long one the client waits for the first bytes.
 	responseBufferTime = 50 * time.Millisecond
 	// uploadDoneTimeout is how long a response to a streaming request waits for the write of the request's last
 	// byte to return.
 	uploadDoneTimeout = 20 * time.Millisecond
-	// bodyIdleTimeout is how long a peer may make no progress on a streamed body.
+	// bodyIdleTimeout is how long a peer may make no progress on a streamed body: far more than a slow connection
+	// takes for a piece.
 	bodyIdleTimeout = 10 * time.Second
 )
 
@@ -195,7 +197,7 @@
 		if idle.checkIdle() == nil {
 			return idle, nil
 		}
-		idle.Close()
+		idle.Close() // nothing was written on it, so a new connection serves as well
 	}
 	c, err := t.open("tcp", address, t.timeout)
 	if err != nil {
@@ -361,7 +363,7 @@
 }
 
 // parseLoad parses a load report of comma-separated name=value pairs. It returns a zero Load unless there
-// is exactly one report and every pair is valid.
+// is exactly one report and every pair is valid: a report that is read in part must not change shares.
 func parseLoad(reports []string) garnettide.Load {
 	var load garnettide.Load
 	if len(reports) != 1 {
