--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -46,9 +46,7 @@
 		b.sendList(50, b.addUpstream(respondOK).member("s-00000001"), b.addUpstream(respondOK).member("s-00000002"))
 		synctest.Wait()
 		const deadline = time.Second
-		client := b.connectClient()
-		go fmt.Fprintf(client, "%s%s", checkinRequest(fmt.Sprintf("X-Request-Id: 1\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n",
-			deadline.Milliseconds(), 3*maxBufferedBody)), numberedBytes(3*maxBufferedBody))
+		client := startUpload(b, deadline, numberedBytes(3*maxBufferedBody), false)
 		client.SetReadDeadline(time.Now().Add(deadline + allowedLateness))
 		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
 		if err != nil {
@@ -79,6 +77,41 @@
 	c.Write(message.Bytes())
 }
 
+// newUploadBalancer starts a balancer with one upstream, which passes its connections to serve.
+func newUploadBalancer(t *testing.T, serve func(c net.Conn)) (*memBalancer, *memUpstream) {
+	b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
+	close(b.connectGate)
+	u := b.addUpstream(respondOK)
+	u.serve = serve
+	b.sendList(50, u.member("s-00000001"))
+	synctest.Wait()
+	return b, u
+}
+
+// startUpload writes a request as writeUpload does and returns the client's end of its connection. Its goroutine stands for
+// the buffers that take the client's bytes while the balancer reads none.
+func startUpload(b *memBalancer, deadline time.Duration, body []byte, chunked bool) net.Conn {
+	client := b.connectClient()
+	go writeUpload(client, "1", deadline, body, chunked)
+	client.SetReadDeadline(time.Now().Add(time.Minute))
+	return client
+}
+
+// wantResponse reads the response to an upload, checks its status and returns how long it took. It ends the play.
+func wantResponse(t *testing.T, b *memBalancer, client net.Conn, status int) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	waited := time.Since(begin)
+	want(t, "status", resp.StatusCode, status)
+	client.Close()
+	b.expireAndStop()
+	return waited
+}
+
 // waitForClose waits until the other end of an in-memory connection is closed, and reads nothing.
 func waitForClose(c net.Conn) {
 	for !c.(*memConn).peer.closed.Load() {
@@ -98,47 +131,28 @@
 		for _, chunked := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, chunked %v", name, chunked), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
-					close(b.connectGate)
-					u := b.addUpstream(respondOK)
 					connClosed := make(chan struct{})
-					u.serve = func(c net.Conn) {
+					b, _ := newUploadBalancer(t, func(c net.Conn) {
 						beforeHang(c)
 						waitForClose(c)
 						close(connClosed)
-					}
-					b.sendList(50, u.member("s-00000001"))
-					synctest.Wait()
+					})
 					const deadline = time.Second
-					client := b.connectClient()
-					// This goroutine stands for the buffers that take the client's bytes while the balancer reads none.
-					go writeUpload(client, "1", deadline, numberedBytes(8*maxBufferedBody), chunked)
-					begin := time.Now()
-					client.SetReadDeadline(begin.Add(time.Minute))
-					resp, err := http.ReadResponse(bufio.NewReader(client), nil)
-					if err != nil {
-						t.Fatal(err)
-					}
-					want(t, "status", resp.StatusCode, http.StatusServiceUnavailable)
-					if waited := time.Since(begin); waited > deadline+allowedLateness {
+					client := startUpload(b, deadline, numberedBytes(8*maxBufferedBody), chunked)
+					waited := wantResponse(t, b, client, http.StatusServiceUnavailable)
+					if waited > deadline+allowedLateness {
 						t.Errorf("got the response after %v, want it within %v", waited, deadline+allowedLateness)
 					}
 					<-connClosed
-					client.Close()
-					b.expireAndStop()
 				})
 			})
 		}
 	}
 }
 
-// startPacedUpload sends an upload on a new connection to an upstream that takes pieceSize bytes of it each interval
-// and then calls respond. It returns the client's end of the connection.
-func startPacedUpload(b *memBalancer, deadline, interval time.Duration, pieceSize int64, body []byte, chunked bool,
-	respond func(net.Conn, *http.Request) bool) net.Conn {
-	close(b.connectGate)
-	u := b.addUpstream(respond)
-	u.serve = func(c net.Conn) {
+// paced returns a function that takes pieceSize bytes of a request's body each interval, and then calls respond.
+func paced(interval time.Duration, pieceSize int64, respond func(net.Conn, *http.Request) bool) func(net.Conn) {
+	return func(c net.Conn) {
 		r, err := http.ReadRequest(bufio.NewReaderSize(c, bodyBufferSize))
 		if err != nil {
 			return
@@ -149,43 +163,31 @@
 		}
 		respond(c, r)
 	}
-	b.sendList(50, u.member("s-00000001"))
-	synctest.Wait()
-	client := b.connectClient()
-	// This goroutine stands for the buffers that take the client's bytes while the balancer reads none.
-	go writeUpload(client, "1", deadline, body, chunked)
-	return client
 }
 
 // TestUploadTakenSlowlyIsAnsweredInTime guards against a late response to a client that wrote its whole body long ago,
 // when its upstream takes the body slowly but without a pause.
 func TestUploadTakenSlowlyIsAnsweredInTime(t *testing.T) {
+	hang := func(c net.Conn, _ *http.Request) bool { waitForClose(c); return false }
 	for name, c := range map[string]struct {
-		body    []byte
-		chunked bool
+		size   int
+		status int
 	}{
-		"late before the body is complete, length": {numberedBytes(32 * bodyBufferSize), false},
-		"late before the body is complete, chunks": {numberedBytes(32 * bodyBufferSize), true},
-		"late behind the body, length":             {numberedBytes(10 * bodyBufferSize), false},
-		"late behind the body, chunks":             {numberedBytes(10 * bodyBufferSize), true},
+		"over before the body is complete": {32 * bodyBufferSize, http.StatusServiceUnavailable},
+		"over behind the body":             {10 * bodyBufferSize, http.StatusGatewayTimeout},
 	} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
-				const deadline = time.Second
-				begin := time.Now()
-				client := startPacedUpload(b, deadline, 80*time.Millisecond, bodyBufferSize, c.body, c.chunked,
-					func(c net.Conn, _ *http.Request) bool { waitForClose(c); return false })
-				if _, err := http.ReadResponse(bufio.NewReader(client), nil); err != nil {
-					t.Fatal(err)
-				}
-				if waited := time.Since(begin); waited < deadline/2 || waited > deadline+allowedLateness {
-					t.Errorf("got the response after %v, want it at about %v", waited, deadline)
-				}
-				client.Close()
-				b.expireAndStop()
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %v", name, chunked), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b, _ := newUploadBalancer(t, paced(80*time.Millisecond, bodyBufferSize, hang))
+					const deadline = time.Second
+					client := startUpload(b, deadline, numberedBytes(c.size), chunked)
+					if waited := wantResponse(t, b, client, c.status); waited > deadline+allowedLateness {
+						t.Errorf("got the response after %v, want it within %v", waited, deadline+allowedLateness)
+					}
+				})
 			})
-		})
+		}
 	}
 }
 
@@ -194,21 +196,12 @@
 func TestUploadLongerThanDeadlineIsServed(t *testing.T) {
 	for _, chunked := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
 			const deadline, interval = time.Second, 10 * time.Millisecond
-			begin := time.Now()
-			client := startPacedUpload(b, deadline, interval, 2*maxClientSendBuffer/int64(deadline/interval),
-				make([]byte, 6*maxClientSendBuffer), chunked, respondOK)
-			resp, err := http.ReadResponse(bufio.NewReader(client), nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			want(t, "status", resp.StatusCode, http.StatusOK)
-			if time.Since(begin) < 2*deadline {
+			b, _ := newUploadBalancer(t, paced(interval, 2*maxClientSendBuffer/int64(deadline/interval), respondOK))
+			client := startUpload(b, deadline, make([]byte, 6*maxClientSendBuffer), chunked)
+			if wantResponse(t, b, client, http.StatusOK) < 2*deadline {
 				t.Error("the upload took less than twice the deadline, so the test proves nothing")
 			}
-			client.Close()
-			b.expireAndStop()
 		})
 	}
 }
@@ -217,34 +210,19 @@
 // SIGTERM, because its upstream hangs.
 func TestStopEndsUploadToHungUpstream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
-		close(b.connectGate)
-		u := b.addUpstream(respondOK)
-		u.serve = func(c net.Conn) {
+		b, _ := newUploadBalancer(t, func(c net.Conn) {
 			io.CopyN(io.Discard, c, 2*maxBufferedBody)
 			waitForClose(c)
-		}
-		b.sendList(50, u.member("s-00000001"))
-		synctest.Wait()
-		client := b.connectClient()
-		go writeUpload(client, "1", 4*time.Second, numberedBytes(8*maxBufferedBody), false)
+		})
+		client := startUpload(b, 4*time.Second, numberedBytes(8*maxBufferedBody), false)
 		synctest.Wait()
-		begin := time.Now()
 		stopped := make(chan struct{})
 		go func() { b.front.stop(); close(stopped) }()
-		client.SetReadDeadline(begin.Add(time.Minute))
-		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
-		if err != nil {
-			t.Fatal(err)
+		waited := wantResponse(t, b, client, http.StatusServiceUnavailable)
+		if limit := maxShutdownDeadline + shutdownGracePeriod; waited > limit {
+			t.Errorf("got the response %v after the stop, want it within %v", waited, limit)
 		}
-		want(t, "status", resp.StatusCode, http.StatusServiceUnavailable)
-		if waited := time.Since(begin); waited > maxShutdownDeadline+shutdownGracePeriod {
-			t.Errorf("got the response %v after the stop, want it within %v", waited,
-				maxShutdownDeadline+shutdownGracePeriod)
-		}
-		client.Close()
 		<-stopped
-		b.expireAndStop()
 	})
 }
 
@@ -276,30 +254,16 @@
 // body: a write of which it has taken a part was repeated until nothing had been taken for 10 s.
 func TestEarlyResponseEndsUploadAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
-		close(b.connectGate)
-		u := b.addUpstream(respondOK)
-		u.serve = func(c net.Conn) {
+		b, _ := newUploadBalancer(t, func(c net.Conn) {
 			if _, err := readRequestHead(c); err != nil {
 				return
 			}
 			io.CopyN(io.Discard, c, maxBufferedBody+bodyBufferSize/2) // ends within a piece of the streamed part
 			io.WriteString(c, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 			waitForClose(c)
-		}
-		b.sendList(50, u.member("s-00000001"))
-		synctest.Wait()
-		client := b.connectClient()
-		go writeUpload(client, "1", 2*time.Second, numberedBytes(8*maxBufferedBody), false)
-		begin := time.Now()
-		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		want(t, "status", resp.StatusCode, http.StatusServiceUnavailable)
-		want(t, "time until the response", time.Since(begin), uploadDoneTimeout)
-		client.Close()
-		b.expireAndStop()
+		})
+		client := startUpload(b, 2*time.Second, numberedBytes(8*maxBufferedBody), false)
+		want(t, "time until the response", wantResponse(t, b, client, http.StatusServiceUnavailable), uploadDoneTimeout)
 	})
 }
 
@@ -330,30 +294,18 @@
 // upstream has received whole: its connection was reset before the write of the last byte had returned.
 func TestResetBehindUploadIsNotRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
 		received := 0
-		u := b.addUpstream(respondOK)
-		u.serve = func(c net.Conn) {
+		b, u := newUploadBalancer(t, func(c net.Conn) {
 			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 				body, _ := io.ReadAll(r.Body)
 				received = len(body)
 			}
-		}
+		})
 		b.transport.open = func(string, string, time.Duration) (net.Conn, error) {
 			return &lateWriteConn{memConn: u.dial().(*memConn), closing: make(chan struct{})}, nil
 		}
-		b.sendList(50, u.member("s-00000001"))
-		synctest.Wait()
-		client := b.connectClient()
 		body := append(numberedBytes(2*maxBufferedBody), lastByte)
-		go writeUpload(client, "1", time.Second, body, false)
-		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		want(t, "status", resp.StatusCode, http.StatusBadGateway)
+		wantResponse(t, b, startUpload(b, time.Second, body, false), http.StatusBadGateway)
 		want(t, "body bytes at the upstream", received, len(body))
-		client.Close()
-		b.expireAndStop()
 	})
 }
