--- a/internal/scale/child.go
+++ b/internal/scale/child.go
@@ -93,8 +93,9 @@
 
 	mu              sync.Mutex
 	children        []*child
-	logCount        int   // log files created so far
-	peakMemoryBytes int64 // highest result of memoryBytes
+	reserved        []reservedAddress // that children listen on
+	logCount        int               // log files created so far
+	peakMemoryBytes int64             // highest result of memoryBytes
 }
 
 // startRole starts this program in a role and connects to its RPC service.
@@ -178,16 +179,32 @@
 	}
 }
 
-// stopAll stops all children at the same time.
+// reserveAddress reserves an address, until stopAll, for a child that is to listen there.
+func (p *processGroup) reserveAddress() (string, error) {
+	r, err := reserveAddress()
+	if err != nil {
+		return "", err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reserved = append(p.reserved, r)
+	return r.address, nil
+}
+
+// stopAll stops all children at the same time, and then releases the reserved addresses.
 func (p *processGroup) stopAll() {
 	p.mu.Lock()
-	children := append([]*child(nil), p.children...)
+	children, reserved := append([]*child(nil), p.children...), p.reserved
+	p.reserved = nil
 	p.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, c := range children {
 		wg.Go(func() { p.stop(c) })
 	}
 	wg.Wait()
+	for _, r := range reserved {
+		r.release()
+	}
 }
 
 // memoryBytes returns the resident memory of all processes of the run, including this one, and records the
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -123,7 +123,7 @@
 		path := filepath.Join(f.dir, s.Name+".json")
 		if i >= f.size.Hollow {
 			var err error
-			if s.Listen, err = freeAddress(); err != nil {
+			if s.Listen, err = f.processes.reserveAddress(); err != nil {
 				return err
 			}
 			f.realBalancers = append(f.realBalancers, &realBalancer{spec: s, path: path,
--- a/internal/scale/real.go
+++ b/internal/scale/real.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -92,14 +91,3 @@
 	}
 	return nil
 }
-
-// freeAddress returns a loopback address with a free port. Another process may take the port before it is
-// used.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("finding a free address: %w", err)
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
--- a/internal/scale/soak.go
+++ b/internal/scale/soak.go
@@ -194,7 +194,7 @@
 		}
 	} else {
 		var err error
-		if s.listen, err = freeAddress(); err != nil {
+		if s.listen, err = s.processes.reserveAddress(); err != nil {
 			return err
 		}
 	}
@@ -219,7 +219,7 @@
 
 // start starts a balancer process and waits until it is ready. It records a fault if that takes too long.
 func (s *soak) start() (*soakBalancer, error) {
-	operatorAddress, err := freeAddress()
+	operatorAddress, err := s.processes.reserveAddress()
 	if err != nil {
 		return nil, err
 	}
