Drop samples of an upload's arrival from before its client was last awaited

While a client sends slowly for long, a sample each 25 ms was kept until 4 MiB more had arrived: some 5,000 for an upload at the slowest accepted rate, over 100 KB of memory. Samples from before the client was last awaited say nothing, as the estimate is never earlier than that.

TestArrivalsOfSlowClientTakeNoMemory plays the slowest accepted client over 1e5 samples and wants two at most.

--- a/internal/proxy/arrival.go
+++ b/internal/proxy/arrival.go
@@ -25,18 +25,23 @@
 // bodyArrivals holds samples of how much of a body has arrived. Any goroutine may use it.
 type bodyArrivals struct {
 	mu      sync.Mutex
-	samples []arrivalSample // oldest first, at least one; none is more than maxClientSendBuffer behind the last
+	samples []arrivalSample // oldest first, at least one
 }
 
-// record adds a sample, and drops those after which more has arrived than the client's send buffer holds: the client
-// was still writing then.
-func (a *bodyArrivals) record(at time.Time, total int64) {
+// record adds a sample, and drops those at which the client was still writing: more has arrived since than its send
+// buffer holds, or it has been awaited since. awaitedAt is when it was last awaited.
+func (a *bodyArrivals) record(at time.Time, total int64, awaitedAt time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.samples = append(a.samples, arrivalSample{at, total})
-	for total-a.samples[0].total > maxClientSendBuffer {
-		a.samples = a.samples[1:]
+	first := 0
+	for total-a.samples[first].total > maxClientSendBuffer {
+		first++
 	}
+	for first+1 < len(a.samples) && a.samples[first].at.Before(awaitedAt) {
+		first++
+	}
+	a.samples = a.samples[first:]
 }
 
 // earliestEnd returns the earliest time at which the client can have written its last byte, as far as the samples
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -71,6 +71,9 @@
 	return n, err
 }
 
+// lastAwaited returns when the last read that had to wait for the client ended.
+func (c *timedConn) lastAwaited() time.Time { return time.Unix(0, c.awaitedAt.Load()) }
+
 // stop makes current and later reads fail with a timeout. It may be called from any goroutine.
 func (c *timedConn) stop() {
 	c.stopped.Store(true)
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -41,9 +41,10 @@
 	return err
 }
 
-// recordArrivals notes how much of the body has arrived by now, read or not.
-func (u *upload) recordArrivals(now time.Time) {
-	u.arrivals.record(now, u.received.Load()+unreadBytes(u.client))
+// recordArrivals notes how much of the body has arrived by now, read or not. The client was last awaited at
+// awaitedAt.
+func (u *upload) recordArrivals(now, awaitedAt time.Time) {
+	u.arrivals.record(now, u.received.Load()+unreadBytes(u.client), awaitedAt)
 }
 
 // fail ends the body with an error of the client's, for the attempt that reads it.
--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -235,21 +235,37 @@
 	for _, c := range []struct {
 		seconds  int
 		total    int64
+		awaited  int // seconds after start
 		earliest int
 	}{
-		{0, 1000, 0},
-		{1, maxClientSendBuffer, 0},
-		{2, 1000 + maxClientSendBuffer, 0},
-		{3, 1001 + maxClientSendBuffer, 1},
-		{9, 1001 + maxClientSendBuffer, 1},
-		{10, 1 + 2*maxClientSendBuffer, 2},
-		{11, 9 * maxClientSendBuffer, 11},
+		{0, 1000, 0, 0},
+		{1, maxClientSendBuffer, 0, 0},
+		{2, 1000 + maxClientSendBuffer, 0, 0},
+		{3, 1001 + maxClientSendBuffer, 0, 1},
+		{9, 1001 + maxClientSendBuffer, 0, 1},
+		{10, 1 + 2*maxClientSendBuffer, 0, 2},
+		{11, 9 * maxClientSendBuffer, 0, 11},
+		{12, 9 * maxClientSendBuffer, 11, 11},
+		{13, 9 * maxClientSendBuffer, 12, 12},
 	} {
-		a.record(after(c.seconds), c.total)
+		a.record(after(c.seconds), c.total, after(c.awaited))
 		want(t, fmt.Sprintf("earliest end after %d s", c.seconds), a.earliestEnd(), after(c.earliest))
 	}
 }
 
+// TestArrivalsOfSlowClientTakeNoMemory guards against samples that pile up while a client sends slowly for long.
+func TestArrivalsOfSlowClientTakeNoMemory(t *testing.T) {
+	var a bodyArrivals
+	now := time.Now()
+	for i := range int64(1e5) {
+		now = now.Add(bodyCheckInterval)
+		a.record(now, i*minClientBodyRate/int64(time.Second/bodyCheckInterval), now.Add(-bodyCheckInterval/2))
+	}
+	if n := len(a.samples); n > 2 {
+		t.Errorf("got %d samples, want at most 2", n)
+	}
+}
+
 // TestEarlyResponseEndsUploadAtOnce guards against holding back a response that an upstream sends before the end of the
 // body: a write of which it has taken a part was repeated until nothing had been taken for 10 s.
 func TestEarlyResponseEndsUploadAtOnce(t *testing.T) {
--- a/internal/proxy/watcher.go
+++ b/internal/proxy/watcher.go
@@ -27,7 +27,7 @@
 	w := &clientWatcher{front: f, c: c, req: req, readDone: make(chan error, 1)}
 	if rest := req.message.rest; rest != nil {
 		rest.received.Store(int64(len(req.message.body)))
-		rest.recordArrivals(time.Now())
+		rest.recordArrivals(time.Now(), c.timed.lastAwaited())
 	}
 	go func() {
 		if req.message.rest != nil {
@@ -88,7 +88,7 @@
 // takes it too slowly.
 func (w *clientWatcher) bodyOverdue() bool {
 	rest, now := w.req.message.rest, time.Now()
-	rest.recordArrivals(now)
+	rest.recordArrivals(now, w.c.timed.lastAwaited())
 	return rest.blocked.Load() && w.remainingBudget(now) <= 0
 }
 
@@ -96,7 +96,7 @@
 // possible. It had not written that byte when it was last awaited.
 func (w *clientWatcher) remainingBudget(now time.Time) time.Duration {
 	lastByteAt := w.req.message.rest.arrivals.earliestEnd()
-	if awaitedAt := time.Unix(0, w.c.timed.awaitedAt.Load()); awaitedAt.After(lastByteAt) {
+	if awaitedAt := w.c.timed.lastAwaited(); awaitedAt.After(lastByteAt) {
 		lastByteAt = awaitedAt
 	}
 	return w.front.capBudget(w.req.Budget - now.Sub(lastByteAt))
