Drop an attempt's message once it is written, so that late responses keep none in memory

Cause: an attempt whose request has ended waits up to 3 s for a late response, so that its connection can be used again. It kept the request's head and body, up to 80 KiB, which the budgets had back by then. Up to four for each upstream may wait, on a third of the descriptors.

Change: an attempt has its own copy of the message, and drops it once it is written, unless a body is being streamed (such an attempt never waits). The request drops its head and body when their memory is returned.

Test: TestLateResponsesStayWithinMemoryLimit has hung upstreams and requests of 80 KB whose deadline is over, on all 341 connections of 32 MB and 1,024 descriptors.

--- a/internal/proxy/head.go
+++ b/internal/proxy/head.go
@@ -134,7 +134,7 @@
 	return size
 }
 
-// release returns the memory of the head to its budget. The text stays readable, for attempts that may still write it.
+// release returns the memory of the head to its budget.
 func (h *head) release() { h.budget.release(countedHeadBytes(cap(h.text))) }
 
 // storeField checks the line that begins at an index, the last one, and makes a field of it.
--- a/internal/proxy/head_test.go
+++ b/internal/proxy/head_test.go
@@ -64,7 +64,7 @@
 						u.serve = func(c net.Conn) {
 							u.requestsStarted.Add(1)
 							go io.WriteString(c, tt.responseHead)
-							io.Copy(io.Discard, c) // until the balancer gives up
+							discardInput(c) // until the balancer gives up
 						}
 						members = append(members, u.member(fmt.Sprintf("s-%08x", i+1)))
 					}
@@ -76,7 +76,7 @@
 					c := b.connectClient()
 					conns = append(conns, c)
 					go io.WriteString(c, tt.request(i)) // fails if the balancer refuses it before its end
-					go io.Copy(io.Discard, c)
+					go discardInput(c)
 				}
 				synctest.Wait()
 				want(t, "requests at upstreams", b.requestsStarted(), responses)
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -517,7 +517,8 @@
 		return
 	}
 	now := l.now()
-	a := &attempt{req: r, index: len(r.attempts), upstream: u, sentAt: now, address: u.address, message: &r.message}
+	copied := r.message
+	a := &attempt{req: r, index: len(r.attempts), upstream: u, sentAt: now, address: u.address, message: &copied}
 	for _, other := range r.attempts {
 		if window > 0 && !other.neverRan { // connections may be opened late and in any order
 			a.writeBefore(other.sentAt + window)
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -17,6 +18,7 @@
 // Limits of a balancer that has little memory for its descriptors.
 const (
 	littleMemoryMB  = 64
+	leastMemoryMB   = 32
 	manyDescriptors = 1024
 )
 
@@ -24,6 +26,7 @@
 func checkMemory(t *testing.T, limitMB uint64) {
 	t.Helper()
 	runtime.GC()
+	runtime.GC() // empties the pools
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	if used := memory.HeapAlloc + memory.StackInuse; used > limitMB<<20 {
@@ -31,6 +34,16 @@
 	}
 }
 
+// discardInput reads until the connection ends. Its buffer is small beside those of the balancer.
+func discardInput(c net.Conn) {
+	buffer := make([]byte, 256)
+	for {
+		if _, err := c.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
 // TestEndedRequestsStayWithinMemoryLimit guards against keeping the bodies of ended requests until their deadline, which
 // no budget counts.
 func TestEndedRequestsStayWithinMemoryLimit(t *testing.T) {
@@ -62,3 +75,46 @@
 		b.expireAndStop()
 	})
 }
+
+// TestLateResponsesStayWithinMemoryLimit guards against keeping the requests of attempts that await a late response from
+// hung upstreams, which no budget counts.
+func TestLateResponsesStayWithinMemoryLimit(t *testing.T) {
+	limits := Config{MemoryMB: leastMemoryMB, Sockets: manyDescriptors}
+	const deadline = 400 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(c *Config, _ *garnettide.Settings) {
+			c.MemoryMB, c.Sockets = limits.MemoryMB, limits.Sockets
+		})
+		close(b.connectGate)
+		var members []member
+		for i := range limits.maxUpstreamConns() {
+			u := b.addUpstream(nil)
+			u.serve = func(c net.Conn) {
+				u.requestsStarted.Add(1)
+				discardInput(c)
+			}
+			members = append(members, u.member(fmt.Sprintf("s-%08x", i+1)))
+		}
+		b.sendList(50, members...)
+		padding := "X-Pad: " + strings.Repeat("p", maxHeadBytes-400) + "\r\n"
+		body := strings.Repeat("b", maxBufferedBody)
+		var conns []*memConn
+		for b.connCount < limits.maxUpstreamConns() { // those of requests whose deadline is over
+			for range limits.maxUpstreamConns() {
+				c := b.connectClient()
+				conns = append(conns, c)
+				go discardInput(c)
+				go io.WriteString(c, checkinRequest(fmt.Sprintf("X-Request-Id: %d\r\nX-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n",
+					len(conns), deadline.Milliseconds(), padding, len(body)))+body)
+				synctest.Wait()
+			}
+			time.Sleep(deadline)
+			synctest.Wait()
+		}
+		checkMemory(t, leastMemoryMB)
+		for _, c := range conns {
+			c.Close()
+		}
+		b.expireAndStop()
+	})
+}
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -267,10 +267,12 @@
 	rest            *upload // the streamed part; nil: none
 }
 
-// release returns the memory of the head and of the buffered body, which is of the given budget.
+// release drops the head and the buffered body, and returns their memory. That of the body is of the given budget.
+// Attempts have copies of the message.
 func (m *message) release(bodies *memoryBudget) {
 	bodies.free(m.body)
 	m.head.release()
+	m.body, m.head = nil, head{}
 }
 
 // bytes renders m for an attempt with the given timeout. A small buffered body is part of head. Otherwise
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -101,7 +101,7 @@
 	upstream           *upstream
 	sentAt             time.Duration // time of Send or, if it arrives later, of the request's last byte
 	address            string
-	message            *message
+	message            *message      // a copy; nil once it is written, unless the request is streaming
 	responseTimeout    time.Duration // from Send, or from the request's last byte if that was pending
 	responseDeadline   time.Duration // 0: the request's last byte was pending at Send
 	writeDeadline      atomic.Int64  // loop's clock; latest time for writing, if other attempts may run; 0: none
@@ -234,7 +234,9 @@
 		}
 		return attemptResult{status: garnettide.Reset}
 	}
-	if a.uploadDone != nil {
+	if a.uploadDone == nil {
+		a.message = nil // the response may come long after the request has ended
+	} else {
 		a.uploadConn = &uploadConn{Conn: c}
 		a.message.rest.started.Store(true) // receiveResponse may fail before the upload's goroutine runs
 		go a.upload(a.message.rest, len(tail) > 0)
