Read the count of connections on the loop in the test of late responses

The test itself read loop.connCount, which the loop then wrote; the wait of synctest orders the loop's writes before the read, not the read before later writes. The program reads it on the loop only. The test now asks the loop. Check and bound are the same.

--- a/internal/proxy/memnet_test.go
+++ b/internal/proxy/memnet_test.go
@@ -234,6 +234,14 @@
 	return n
 }
 
+// upstreamConns returns how many connections to upstreams the loop counts.
+func (b *memBalancer) upstreamConns() (n int) {
+	call := adminLoopCall{func(l *loop) { n = l.connCount }, make(chan struct{})}
+	b.adminCalls <- call
+	<-call.done
+	return n
+}
+
 // TestNoAttemptStartsAfterClientLeaves guards against starting an attempt more than 0.1 s after the client
 // has left: one of a queued request, one that waits for its connection, a retry or a hedge. With a client
 // that stays, each of them starts.
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -99,7 +99,7 @@
 		padding := "X-Pad: " + strings.Repeat("p", maxHeadBytes-400) + "\r\n"
 		body := strings.Repeat("b", maxBufferedBody)
 		var conns []*memConn
-		for b.connCount < limits.maxUpstreamConns() { // those of requests whose deadline is over
+		for b.upstreamConns() < limits.maxUpstreamConns() { // those of requests whose deadline is over
 			for range limits.maxUpstreamConns() {
 				c := b.connectClient()
 				conns = append(conns, c)
