Bound the head of discovery's responses as those of other messages

Related path of the heads of many fields, by reading; not seen. http.Transport reads a response's head of up to 10 MB into a map, whatever memory_mb is. The bound is 16 KiB now, as for clients and upstreams; a call whose response goes beyond it has failed, as one whose list is too long has.

TestLongResponseHeadFailsCall sends 64 KiB of fields: a list before, an error after.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -188,7 +188,8 @@
 func newDiscoveryClient(ctx context.Context, address string, post func(listUpdate)) *discoveryClient {
 	d := &discoveryClient{address: address, url: "http://" + address + "/v1/servers", post: post,
 		dial: (&net.Dialer{}).DialContext}
-	d.httpClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DialContext: d.connect}}
+	d.httpClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DialContext: d.connect,
+		MaxResponseHeaderBytes: maxHeadBytes}}
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	return d
 }
--- a/internal/proxy/discovery_test.go
+++ b/internal/proxy/discovery_test.go
@@ -161,3 +161,20 @@
 	}
 	want(t, "connection limits fit the descriptors", b.config.maxUpstreamConns()+b.config.maxClientConns() < 256, true)
 }
+
+// TestLongResponseHeadFailsCall guards against a response of discovery that takes the balancer over its memory limit with
+// its head.
+func TestLongResponseHeadFailsCall(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for i := range 4 * maxHeadBytes / len("X0:1\r\n") {
+			w.Header().Set("X"+strconv.Itoa(i), "1")
+		}
+		io.WriteString(w, `{"revision":11,"complete":true,"members":[]}`)
+	}))
+	defer server.Close()
+	d := newDiscoveryClient(t.Context(), strings.TrimPrefix(server.URL, "http://"), func(listUpdate) {})
+	defer d.shutdown()
+	if _, err := d.call(t.Context(), d.url, discoveryCallTimeout); err == nil {
+		t.Error("got a list, want an error")
+	}
+}
