Log when memory in use comes near its limit, and what takes it

The log of a balancer that was killed for its memory had its start line only; a scratch copy with a profiler had to tell what the memory held. Above three quarters it logs a line with heap objects, stacks, what heads and bodies have taken of their budgets, open requests and connections; below 65% a second one. No line repeats meanwhile.

--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -24,7 +24,7 @@
 	// connection to be reused, which saves opening another. Upstreams that hang never send one.
 	lateResponseTimeout = 3 * time.Second
 	maxLateResponses    = 4
-	// idleSweepInterval is the time between two checks for expired idle connections.
+	// idleSweepInterval is the time between two checks for expired idle connections, and of the memory in use.
 	idleSweepInterval = time.Second
 	// connReuseDelay is how long a connection stays idle between two requests. Responses do not identify their
 	// request, so a late duplicate response would be taken for the response to the next request. It is detected
@@ -116,6 +116,7 @@
 	transport           upstreamTransport
 	memory              memoryBudget // for buffered bodies
 	headMemory          memoryBudget
+	memoryLog           memoryLog
 	settings            garnettide.Settings
 	upstreamIdleTimeout time.Duration
 	maxConns            int                   // limit of connCount
@@ -157,8 +158,9 @@
 	// The clock starts at Unix time, so that discovery's timestamps can be compared with it, and advances with
 	// the monotonic clock, so that it is not affected when the system clock is set.
 	l.clockBase = time.Duration(l.startTime.UnixNano())
-	l.memory.available.Store(c.bodyMemoryLimit())
-	l.headMemory.available.Store(c.headMemoryLimit())
+	l.memory.setLimit(c.bodyMemoryLimit())
+	l.headMemory.setLimit(c.headMemoryLimit())
+	l.memoryLog.limit = uint64(c.MemoryMB) << 20
 	l.transport.now, l.transport.memory, l.transport.headMemory = l.now, &l.memory, &l.headMemory
 	l.transport.onStreamStart = func(a *attempt, r *responseStream, load garnettide.Load) {
 		l.post(streamStarted{a, r, load})
@@ -254,6 +256,7 @@
 	if now := l.now(); now >= l.nextIdleSweep {
 		l.nextIdleSweep = now + idleSweepInterval
 		l.closeExpiredIdle(now)
+		l.logMemory(readMemoryUsage())
 	}
 }
 
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -12,8 +12,20 @@
 	minBodyBuffer   = 1 << 10  // bytes first allocated for a buffered body
 )
 
-// memoryBudget limits the memory of buffers. available is in bytes. A nil budget has no limit.
-type memoryBudget struct{ available atomic.Int64 }
+// memoryBudget limits the memory of buffers. A nil budget has no limit.
+type memoryBudget struct {
+	limit     int64 // in bytes
+	available atomic.Int64
+}
+
+// setLimit sets the limit, in bytes, of a budget from which nothing is reserved.
+func (m *memoryBudget) setLimit(limit int64) {
+	m.limit = limit
+	m.available.Store(limit)
+}
+
+// reserved returns how many bytes are reserved.
+func (m *memoryBudget) reserved() int64 { return m.limit - m.available.Load() }
 
 // reserve takes n bytes and reports whether that many were available. If not, it takes none.
 func (m *memoryBudget) reserve(n int) bool {
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -118,3 +118,35 @@
 		b.expireAndStop()
 	})
 }
+
+// TestMemoryNearLimitIsLogged guards against silence while memory grows to its limit, and against a line each second.
+func TestMemoryNearLimitIsLogged(t *testing.T) {
+	h := newLoopHarness(t)
+	h.memoryLog.limit = 100 << 20
+	h.headMemory.reserve(3 << 10)
+	h.memory.reserve(5 << 10)
+	for _, tt := range []struct {
+		inUseMB uint64
+		line    string // empty: none
+	}{
+		{74, ""},
+		{76, "memory is near the limit: 77824 of 102400 KiB in use, heap objects 2048 KiB, stacks 1024 KiB, " +
+			"heads 3 KiB, bodies 5 KiB, 0 requests, 0 connections to upstreams"},
+		{90, ""},
+		{66, ""},
+		{64, "memory is no longer near the limit: 65536 of 102400 KiB in use, heap objects 2048 KiB, stacks 1024 KiB, " +
+			"heads 3 KiB, bodies 5 KiB, 0 requests, 0 connections to upstreams"},
+		{74, ""},
+	} {
+		h.logMemory(memoryUsage{inUse: tt.inUseMB << 20, objects: 2 << 20, stacks: 1 << 20})
+		line := ""
+		select {
+		case line = <-h.logLines:
+		default:
+		}
+		want(t, fmt.Sprintf("line at %d MiB", tt.inUseMB), line, tt.line)
+	}
+	if usage := readMemoryUsage(); usage.objects == 0 || usage.stacks == 0 || usage.inUse < usage.objects+usage.stacks {
+		t.Errorf("got %+v, want all of it, and the parts within the whole", usage)
+	}
+}
