--- a/internal/proxy/head_test.go
+++ b/internal/proxy/head_test.go
@@ -10,6 +10,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 
@@ -128,17 +129,20 @@
 
 // TestHeadsOfEndedRequestsAreReleased guards against a leak of memory for heads, whichever way a request ends.
 func TestHeadsOfEndedRequestsAreReleased(t *testing.T) {
+	t.Parallel()
 	padding := "X-Pad: " + strings.Repeat("p", 2*uncountedHeadBytes) + "\r\n"
 	upstream := newTestUpstream(t, respondOK)
 	b := startBalancer(t, upMember("s-00000001", upstream))
+	var clients sync.WaitGroup
 	for _, m := range malformedRequests() {
-		go func() {
-			head, rest, _ := strings.Cut(m.text, "\r\n")
-			sendRaw(t, b.url, head+"\r\n"+padding+rest)
-		}()
+		clients.Go(func() {
+			startLine, rest, _ := strings.Cut(m.text, "\r\n")
+			sendRaw(t, b.url, startLine+"\r\n"+padding+rest)
+		})
 	}
 	sendRaw(t, b.url, checkinRequest("X-Request-Id: ok\r\nConnection: close\r\nContent-Length: 0\r\n"+padding))
 	sendRaw(t, b.url, "GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"+padding+"\r\n")
+	clients.Wait()
 	b.waitUntil(t, "the memory is released", func() bool {
 		return b.loop.headMemory.available.Load() == b.config.headMemoryLimit()
 	})
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -357,7 +357,8 @@
 	return result
 }
 
-// readErrorStatus returns Error for a malformed response, or one that is too large, and Reset for one that is missing or incomplete.
+// readErrorStatus returns Error for a response that is malformed or too large, and Reset for one that is missing or
+// incomplete.
 func readErrorStatus(err error) garnettide.Status {
 	for _, malformed := range []error{errMalformedHead, errHeadTooLong, errHeadMemory, errAmbiguousFraming,
 		errResponseTooLarge} {
