--- a/internal/proxy/head_test.go
+++ b/internal/proxy/head_test.go
@@ -129,7 +129,6 @@
 
 // TestHeadsOfEndedRequestsAreReleased guards against a leak of memory for heads, whichever way a request ends.
 func TestHeadsOfEndedRequestsAreReleased(t *testing.T) {
-	t.Parallel()
 	padding := "X-Pad: " + strings.Repeat("p", 2*uncountedHeadBytes) + "\r\n"
 	upstream := newTestUpstream(t, respondOK)
 	b := startBalancer(t, upMember("s-00000001", upstream))
