--- a/review/standin2/discovery.go
+++ b/review/standin2/discovery.go
@@ -42,7 +42,6 @@
 	removed  map[string]member
 	changed  chan struct{} // closed at the next change
 	down     bool          // calls are reset
-	resets   chan struct{} // takes a value after a call was reset, if there is room
 }
 
 // newDiscovery starts a discovery service with a list.
@@ -52,7 +51,7 @@
 		return nil, err
 	}
 	d := &discovery{stage: s, address: l.Addr().String(), revision: 41, members: slices.Clone(members),
-		changes: map[string]int{}, removed: map[string]member{}, changed: make(chan struct{}), resets: make(chan struct{}, 1)}
+		changes: map[string]int{}, removed: map[string]member{}, changed: make(chan struct{})}
 	d.server = &http.Server{Handler: d}
 	go d.server.Serve(l)
 	return d, nil
@@ -87,22 +86,6 @@
 	d.changed = make(chan struct{})
 }
 
-// outage resets all calls for a time, and then until one more call has failed, but not for longer than a limit.
-func (d *discovery) outage(least, most time.Duration) {
-	d.setDown(true)
-	began := time.Now()
-	time.Sleep(least)
-	select {
-	case <-d.resets: // one from before
-	default:
-	}
-	select {
-	case <-d.resets:
-	case <-time.After(most - time.Since(began)):
-	}
-	d.setDown(false)
-}
-
 // ServeHTTP answers a call for the whole list or a watch.
 func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	since, err := strconv.Atoi(r.URL.Query().Get("since"))
@@ -123,10 +106,6 @@
 		if down {
 			resetConn(w)
 			d.stage.note("discovery: call reset")
-			select {
-			case d.resets <- struct{}{}:
-			default:
-			}
 			return
 		}
 		if !isWatch || revision > since || ctx.Err() != nil {
--- a/review/standin2/stage.go
+++ b/review/standin2/stage.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"regexp"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -113,6 +114,8 @@
 	classes   []class
 	known     listing
 	listen    string
+	listener  *os.File // clients' listening socket, which the platform holds; nil: the balancer opens its own
+	tmp       string   // $TMPDIR; empty: one of its own
 }
 
 // write writes the configuration file and returns its path.
@@ -167,16 +170,21 @@
 	if err != nil {
 		return nil, err
 	}
-	tmp, err := os.MkdirTemp(s.dir, "tmp")
-	if err != nil {
-		return nil, err
+	if c.tmp == "" {
+		if c.tmp, err = os.MkdirTemp(s.dir, "tmp"); err != nil {
+			return nil, err
+		}
 	}
 	cmd := exec.Command("/bin/sh", "-c", s.run)
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_NAME="+c.name, "RELAY_LISTEN="+c.listen,
-		"RELAY_DISCOVERY="+c.discovery, "TMPDIR="+tmp)
+		"RELAY_DISCOVERY="+c.discovery, "TMPDIR="+c.tmp)
 	if c.operator != "" {
 		cmd.Env = append(cmd.Env, "RELAY_OPERATOR="+c.operator)
 	}
+	if c.listener != nil {
+		cmd.ExtraFiles = []*os.File{nil, c.listener} // descriptors 3 and 4
+		cmd.Env = append(cmd.Env, "RELAY_INHERITED_FD=4")
+	}
 	log, err := os.OpenFile(filepath.Join(s.dir, c.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
@@ -199,6 +207,12 @@
 	return b, nil
 }
 
+// signal sends a signal to the process.
+func (b *balancer) signal(sig syscall.Signal) {
+	b.stage.note("balancer %s: %v sent to process %d", b.name, sig, b.cmd.Process.Pid)
+	b.cmd.Process.Signal(sig) // fails only if the process has ended
+}
+
 // kill ends the process and writes its log into the record.
 func (b *balancer) kill() {
 	b.cmd.Process.Kill()
@@ -279,8 +293,10 @@
 	if p.discovery, err = newDiscovery(s, members); err != nil {
 		return nil, err
 	}
-	if c.listen, err = freeAddress(); err != nil {
-		return nil, err
+	if c.listen == "" {
+		if c.listen, err = freeAddress(); err != nil {
+			return nil, err
+		}
 	}
 	c.name, c.balancers = cmp.Or(c.name, "n1"), cmp.Or(c.balancers, 2)
 	c.discovery, c.known = p.discovery.address, p.discovery.list()
