--- a/review/standin2/case6.go
+++ b/review/standin2/case6.go
@@ -26,7 +26,7 @@
 		size = longAnswerSize
 	}
 	body := strings.Repeat("a", size)
-	p, err := s.open(setup{mode: "on_request", memoryMB: 64, sockets: 384, classes: lessonClasses}, 4,
+	p, err := s.open(setup{memoryMB: 64, sockets: 384, classes: lessonClasses}, 4,
 		func(int) answerFunc {
 			return func(c net.Conn, _ *http.Request) error { return writeAnswer(c, body) }
 		})
--- a/review/standin2/case7.go
+++ b/review/standin2/case7.go
@@ -28,7 +28,7 @@
 // slowBodies plays case 7: a third of the descriptors' clients send long bodies slowly. The platform kills a balancer
 // that takes more memory than its limit.
 func slowBodies(s *stage) ([]string, error) {
-	p, err := s.open(setup{mode: "on_request", memoryMB: slowMemoryMB, sockets: slowSockets, classes: lessonClasses}, 9,
+	p, err := s.open(setup{memoryMB: slowMemoryMB, sockets: slowSockets, classes: lessonClasses}, 9,
 		func(int) answerFunc { return answerAfter(20 * time.Millisecond) })
 	if err != nil {
 		return nil, err
--- a/review/standin2/case8.go
+++ b/review/standin2/case8.go
@@ -31,7 +31,7 @@
 		if err != nil {
 			return nil, err
 		}
-		p, err := s.open(setup{name: fmt.Sprintf("n%d", i+1), mode: "on_request", memoryMB: 128, sockets: 1024,
+		p, err := s.open(setup{name: fmt.Sprintf("n%d", i+1), memoryMB: 128, sockets: 1024,
 			classes: lessonClasses, operator: operator}, 4, func(int) answerFunc { return answerAfter(5 * time.Millisecond) })
 		if err != nil {
 			return nil, err
--- a/review/standin2/case9.go
+++ b/review/standin2/case9.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,10 +19,12 @@
 	heldSilence   = 6 * time.Second
 	heldLimit     = 2 * time.Second
 	heldSlack     = 500 * time.Millisecond // beyond heldLimit, for the machine
-	// An answer is one chunk of heldAnswer bytes, of which heldBefore come before a pause of the upstream.
-	heldAnswer = 200000
-	heldBefore = 105000
-	heldByte   = "z" // the body's only byte; no framing has it
+	// An answer is one chunk of heldAnswer bytes. Of it heldBefore come before a silence, or heldBeginning for requests
+	// of the class that may not be repeated.
+	heldAnswer    = 200000
+	heldBefore    = 105000
+	heldBeginning = 20000
+	heldByte      = "z" // the body's only byte; no framing has it
 )
 
 // givenAnswer tells how much of an answer an upstream has written before it fell silent, and when.
@@ -37,25 +40,31 @@
 	var mu sync.Mutex
 	var silentUntil time.Time
 	given := map[string]givenAnswer{} // by request
-	p, err := s.open(setup{mode: "on_request", memoryMB: 64, sockets: 384, classes: lessonClasses}, heldUpstreams,
+	classes := slices.Clone(lessonClasses)
+	classes[1].Repeat = "non_idempotent"
+	p, err := s.open(setup{memoryMB: 64, sockets: 384, classes: classes}, heldUpstreams,
 		func(index int) answerFunc {
 			return func(c net.Conn, r *http.Request) error {
 				id := r.Header.Get("X-Request-Id")
 				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Load: util=0.30,qps=20\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", heldAnswer)
-				if _, err := io.WriteString(c, strings.Repeat(heldByte, heldBefore)); err != nil {
+				before := heldBefore
+				if r.Method == http.MethodPost {
+					before = heldBeginning
+				}
+				if _, err := io.WriteString(c, strings.Repeat(heldByte, before)); err != nil {
 					return err
 				}
 				mu.Lock()
 				wait := time.Until(silentUntil)
 				if index == 0 && wait > 0 {
-					given[id] = givenAnswer{time.Now(), heldBefore}
-					s.note("upstream 0 has written %d bytes of the answer to %s and is silent", heldBefore, id)
+					given[id] = givenAnswer{time.Now(), before}
+					s.note("upstream 0 has written %d bytes of the answer to %s and is silent", before, id)
 				}
 				mu.Unlock()
 				if index == 0 && wait > 0 {
 					time.Sleep(wait)
 				}
-				_, err := io.WriteString(c, strings.Repeat(heldByte, heldAnswer-heldBefore)+"\r\n0\r\n\r\n")
+				_, err := io.WriteString(c, strings.Repeat(heldByte, heldAnswer-before)+"\r\n0\r\n\r\n")
 				return err
 			}
 		})
@@ -66,7 +75,8 @@
 	var running sync.WaitGroup
 	var breaks []string
 	var asked, whole atomic.Int64
-	for range heldClients {
+	for i := range heldClients {
+		class := classes[i%len(classes)].Name
 		running.Go(func() {
 			for {
 				select {
@@ -74,7 +84,8 @@
 					return
 				case <-time.After(heldPause):
 				}
-				r := newRequest("view-timetable", 5*time.Second)
+				r := newRequest(class, 5*time.Second)
+				r.unkeyed = true
 				asked.Add(1)
 				arrivals, err := download(s, p.balancer.listen, r)
 				if err == nil {
@@ -83,9 +94,10 @@
 				mu.Lock()
 				if g, isGiven := given[r.id]; isGiven {
 					due := g.at.Add(heldLimit + heldSlack)
-					if got := arrivals.by(due); got > 0 && got < g.bytes {
-						breaks = append(breaks, fmt.Sprintf("%s: the upstream had given %d bytes; %.1f s later the client had %d: %d are held back",
-							r.id, g.bytes, time.Since(g.at).Seconds()-time.Since(due).Seconds(), got, g.bytes-got))
+					if got := arrivals.by(due); got < g.bytes && (got > 0 || err != nil) {
+						breaks = append(breaks, fmt.Sprintf(
+							"%s: the upstream had given %d bytes; %v later the client had %d of them; in the end it had %d of %d", r.id, g.bytes,
+							heldLimit+heldSlack, got, arrivals.by(time.Now()), heldAnswer))
 					}
 				}
 				mu.Unlock()
@@ -136,6 +148,9 @@
 		n, err := c.Read(buffer)
 		total += strings.Count(string(buffer[:n]), heldByte)
 		arrivals = append(arrivals, givenAnswer{time.Now(), total})
+		if len(arrivals) == 1 && n > 0 {
+			s.note("client: %s: the answer begins %q", r.id, buffer[:min(n, 40)])
+		}
 		if err != nil {
 			s.note("client: %s ended after %d bytes: %v", r.id, total, err)
 			return arrivals, err
--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -20,6 +20,7 @@
 	method   string
 	deadline time.Duration
 	body     string
+	unkeyed  bool // a POST carries no key
 }
 
 // newRequest returns a request of a class with a fresh id.
@@ -35,7 +36,7 @@
 func (r request) head(length int) string {
 	text := fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: tsagaan\r\n"+
 		"X-Deadline-Ms: %d\r\n", r.method, r.class, r.id, r.class, r.deadline.Milliseconds())
-	if r.class == "book-lesson" {
+	if r.method == http.MethodPost && !r.unkeyed {
 		text += "Idempotency-Key: " + r.id + r.id + "\r\n"
 	}
 	if r.method == http.MethodPost {
--- a/review/standin2/stage.go
+++ b/review/standin2/stage.go
@@ -14,7 +14,6 @@
 	"path/filepath"
 	"regexp"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -106,16 +105,12 @@
 	name      string
 	discovery string
 	operator  string // empty: none
-	mode      string // membership_mode
 	balancers int
-	rank      int
 	memoryMB  int
 	sockets   int
 	classes   []class
 	known     listing
 	listen    string
-	listener  *os.File // clients' listening socket, which the platform holds; nil: the balancer opens its own
-	tmp       string   // $TMPDIR; empty: one of its own
 }
 
 // write writes the configuration file and returns its path.
@@ -125,12 +120,12 @@
 		"limits": map[string]any{"cores": 1.0, "memory_mb": c.memoryMB, "sockets": c.sockets},
 		"known":  c.known,
 		"settings": map[string]any{
-			"az": "ub-west", "balancers": c.balancers, "rank": c.rank, "clients": map[string]any{"marks_retry": false},
+			"az": "ub-west", "balancers": c.balancers, "rank": 0, "clients": map[string]any{"marks_retry": false},
 			"family": "proxy", "granularity_us": 5000, "kinds": []string{"fast", "standard", "old"},
 			"limits": map[string]any{"cancel": true, "connect_timeout_us": 250000, "cpu_us_per_s": 15000,
 				"keepalive_us": 30000000, "max_attempts": 3, "max_open": 20000, "max_retry_after_us": 2000000,
 				"peers": false, "probes": false, "retry_after": true, "second_copies": true, "streams_per_conn": 1},
-			"membership_mode": c.mode,
+			"membership_mode": "on_request",
 			"obligations": map[string]any{"answer_slack_us": 20000, "ask_within_us": 10000000, "cold_from": 0.3,
 				"drain_grace_us": 2000000, "ramp_time_us": 9000000, "tip_after_us": 3000000, "tip_multiple": 3.0},
 			"over_share_worth": 0.1, "profiles": c.classes,
@@ -170,21 +165,16 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.tmp == "" {
-		if c.tmp, err = os.MkdirTemp(s.dir, "tmp"); err != nil {
-			return nil, err
-		}
+	tmp, err := os.MkdirTemp(s.dir, "tmp")
+	if err != nil {
+		return nil, err
 	}
 	cmd := exec.Command("/bin/sh", "-c", s.run)
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_NAME="+c.name, "RELAY_LISTEN="+c.listen,
-		"RELAY_DISCOVERY="+c.discovery, "TMPDIR="+c.tmp)
+		"RELAY_DISCOVERY="+c.discovery, "TMPDIR="+tmp)
 	if c.operator != "" {
 		cmd.Env = append(cmd.Env, "RELAY_OPERATOR="+c.operator)
 	}
-	if c.listener != nil {
-		cmd.ExtraFiles = []*os.File{nil, c.listener} // descriptors 3 and 4
-		cmd.Env = append(cmd.Env, "RELAY_INHERITED_FD=4")
-	}
 	log, err := os.OpenFile(filepath.Join(s.dir, c.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
@@ -207,12 +197,6 @@
 	return b, nil
 }
 
-// signal sends a signal to the process.
-func (b *balancer) signal(sig syscall.Signal) {
-	b.stage.note("balancer %s: %v sent to process %d", b.name, sig, b.cmd.Process.Pid)
-	b.cmd.Process.Signal(sig) // fails only if the process has ended
-}
-
 // kill ends the process and writes its log into the record.
 func (b *balancer) kill() {
 	b.cmd.Process.Kill()
@@ -293,10 +277,8 @@
 	if p.discovery, err = newDiscovery(s, members); err != nil {
 		return nil, err
 	}
-	if c.listen == "" {
-		if c.listen, err = freeAddress(); err != nil {
-			return nil, err
-		}
+	if c.listen, err = freeAddress(); err != nil {
+		return nil, err
 	}
 	c.name, c.balancers = cmp.Or(c.name, "n1"), cmp.Or(c.balancers, 2)
 	c.discovery, c.known = p.discovery.address, p.discovery.list()
