Review case 10: uploads begin at upstreams after their clients have left

Takes the place of the case of a replacement in an outage: there a server that drains turns the late requests away, here bookings are made for clients that have gone.

--- a/review/standin2/case10.go
+++ b/review/standin2/case10.go
@@ -1,140 +1,124 @@
 package main
 
 import (
-	"errors"
 	"fmt"
-	"net"
-	"net/http"
-	"os"
+	"io"
+	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
 )
 
 const (
-	staleClients   = 4
-	stalePause     = 100 * time.Millisecond  // between a client's requests
-	staleTold      = 4 * time.Second         // from the drain, which the watch tells, to the replacement
-	staleReady     = 6 * time.Second         // by which the new process has to say yes
-	staleGrace     = 2050 * time.Millisecond // drain_grace_us, and 50 ms on sockets
-	staleNews      = 2 * time.Second         // from the new process's yes to when news counts as told
-	staleOutage    = 12 * time.Second        // from the start of the new process
-	staleTermLimit = 3700 * time.Millisecond // from SIGTERM to SIGKILL
+	goneWork    = 190 * time.Millisecond // of an upstream
+	goneTraffic = 62                     // clients of small requests, which keep the upstreams busy
+	goneClients = 10                     // clients that leave
+	gonePause   = time.Second            // between the requests of such a client, at the mean
+	goneBody    = 300000
+	goneStay    = 20 * time.Millisecond // for which such a client waits behind its last byte, at the mean
+	// goneLimit is 0.1 s, and the 50 ms by which every time limit is longer on sockets.
+	goneLimit  = 150 * time.Millisecond
+	gonePlay   = 80 * time.Second // at most
+	goneBreaks = 5                // breaks after which the case is decided
 )
 
-func init() { cases["10"] = staleList }
+func init() { cases["10"] = goneUpload }
 
-// staleList plays case 10: an upstream drains, and later the balancer's process is replaced while discovery is down.
-func staleList(s *stage) ([]string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	c := setup{mode: "on_request", memoryMB: 64, sockets: 384, classes: lessonClasses, listen: l.Addr().String()}
-	if c.listener, err = l.(*net.TCPListener).File(); err != nil {
-		return nil, err
-	}
-	l.Close()
-	defer c.listener.Close()
-	if c.tmp, err = os.MkdirTemp(s.dir, "shared"); err != nil {
-		return nil, err
-	}
-	if c.operator, err = freeAddress(); err != nil {
-		return nil, err
-	}
-	p, err := s.open(c, 3, func(int) answerFunc { return answerAfter(20 * time.Millisecond) })
+// goneRecord tells which clients have left and when.
+type goneRecord struct {
+	mu       sync.Mutex
+	left     map[string]time.Time // by request
+	requests int
+}
+
+// goneUpload plays case 10: clients of uploads leave while their requests wait for a turn.
+func goneUpload(s *stage) ([]string, error) {
+	p, err := s.open(setup{memoryMB: 64, sockets: 384, classes: lessonClasses}, 6,
+		func(int) answerFunc { return answerAfter(goneWork) })
 	if err != nil {
 		return nil, err
 	}
+	record := &goneRecord{left: map[string]time.Time{}}
 	stop := make(chan struct{})
 	var running sync.WaitGroup
-	for range staleClients {
-		running.Go(func() { askAgainAndAgain(s, c.listen, stop) })
+	for range goneTraffic {
+		running.Go(func() { record.repeat(s, stop, 50*time.Millisecond, func() { record.book(s, p.balancer.listen) }) })
 	}
-	time.Sleep(2 * time.Second)
-	drained := p.upstreams[1]
-	p.discovery.setPhase(drained.id, "draining")
-	told := time.Now()
-	time.Sleep(staleTold)
-	if last := lastArrival(drained); last.Sub(told) > staleGrace {
-		return nil, errors.New("the first process did not stop its sends: not what this case is about")
+	for range goneClients {
+		running.Go(func() { record.repeat(s, stop, 2*gonePause, func() { record.upload(s, p.balancer.listen) }) })
 	}
-	if s.trouble {
-		p.discovery.setDown(true)
-	}
-	began := time.Now()
-	yes, err := replace(p.balancer)
-	if err != nil {
-		return nil, err
+	var breaks []string
+	for began := time.Now(); time.Since(began) < gonePlay && len(breaks) < goneBreaks; {
+		time.Sleep(time.Second)
+		breaks = record.breaks(p.upstreams)
 	}
-	time.Sleep(time.Until(began.Add(staleOutage)))
 	close(stop)
 	running.Wait()
-	late := 0
-	var breaks []string
-	for _, a := range drained.all() {
-		if a.first.Sub(told) > staleGrace {
-			late++
-		}
-		if a.first.Sub(told) > staleGrace && a.first.Sub(yes) > staleNews+staleGrace {
-			breaks = append(breaks, fmt.Sprintf("%s was sent to %s %.3f s after the balancer was told of its drain and %.3f s after the yes",
-				a.id, a.upstream, a.first.Sub(told).Seconds(), a.first.Sub(yes).Seconds()))
-		}
-	}
-	s.say("%d sends later than %v after the drain was told, %d of them also later than %v after the yes", late, staleGrace,
-		len(breaks), staleNews+staleGrace)
+	s.say("%d requests, of which the clients of %d left", record.requests, len(record.left))
 	return breaks, nil
 }
 
-// askAgainAndAgain sends a client's requests, each on a new connection, until stop is closed.
-func askAgainAndAgain(s *stage, address string, stop <-chan struct{}) {
+// repeat calls ask until stop is closed, with pauses up to a limit.
+func (g *goneRecord) repeat(s *stage, stop <-chan struct{}, pause time.Duration, ask func()) {
 	for {
 		select {
 		case <-stop:
 			return
-		case <-time.After(stalePause):
+		case <-time.After(rand.N(pause)):
 		}
-		r := newRequest("view-timetable", 2500*time.Millisecond)
-		s.note("client: %s sent", r.id)
-		got := ask(address, r)
-		s.note("client: %s answered %d %v", r.id, got.status, got.err)
+		g.mu.Lock()
+		g.requests++
+		g.mu.Unlock()
+		ask()
 	}
 }
 
-// lastArrival returns when the first byte of the last request at an upstream arrived.
-func lastArrival(u *upstream) (last time.Time) {
-	for _, a := range u.all() {
-		if a.first.After(last) {
-			last = a.first
-		}
-	}
-	return last
+// book sends a small request and waits for its answer.
+func (g *goneRecord) book(s *stage, address string) {
+	r := newRequest("book-lesson", 1500*time.Millisecond)
+	s.note("client: %s sent", r.id)
+	got := ask(address, r)
+	s.note("client: %s answered %d %v", r.id, got.status, got.err)
 }
 
-// replace starts a second process of a balancer as the platform does, waits for its yes and ends the first one. It
-// returns the time of the yes.
-func replace(b *balancer) (yes time.Time, err error) {
-	c := b.setup
-	if c.operator, err = freeAddress(); err != nil {
-		return yes, err
-	}
-	began := time.Now()
-	next, err := b.stage.start(c)
+// upload sends a request with a long body whole. Its client then leaves, or waits for the answer if there is to be no
+// trouble.
+func (g *goneRecord) upload(s *stage, address string) {
+	r := newRequest("book-lesson", 1500*time.Millisecond)
+	c, err := dial(address)
 	if err != nil {
-		return yes, err
+		return
 	}
-	for next.operate(http.MethodGet, "/control/ready") != http.StatusOK {
-		if time.Since(began) > staleReady {
-			return yes, errors.New("the new process was not ready in time")
-		}
-		time.Sleep(50 * time.Millisecond)
+	defer c.Close()
+	s.note("client: %s begins, %d bytes of body", r.id, goneBody)
+	if _, err := io.WriteString(c, r.head(goneBody)+string(make([]byte, goneBody))); err != nil {
+		s.note("client: %s: %v", r.id, err)
+		return
 	}
-	yes = time.Now()
-	b.signal(syscall.SIGTERM)
-	select {
-	case <-b.exited:
-	case <-time.After(staleTermLimit):
-		b.cmd.Process.Kill()
+	s.note("client: %s is written whole", r.id)
+	if !s.trouble {
+		got := c.read(time.Now().Add(r.deadline + time.Second))
+		s.note("client: %s answered %d %v", r.id, got.status, got.err)
+		return
+	}
+	time.Sleep(goneStay/2 + rand.N(goneStay))
+	c.Close()
+	g.mu.Lock()
+	g.left[r.id] = time.Now()
+	g.mu.Unlock()
+	s.note("client: %s: its client has closed the connection", r.id)
+}
+
+// breaks returns the requests that have begun at an upstream too long after their clients had left, and have run.
+func (g *goneRecord) breaks(upstreams []*upstream) (breaks []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, u := range upstreams {
+		for _, a := range u.all() {
+			if at, left := g.left[a.id]; left && a.first.Sub(at) > goneLimit {
+				breaks = append(breaks, fmt.Sprintf("%s began at %s %.3f s after its client had closed its connection, and %d bytes came whole",
+					a.id, u.id, a.first.Sub(at).Seconds(), a.bytes))
+			}
+		}
 	}
-	return yes, nil
+	return breaks
 }
