--- a/review/standin2/case10.go
+++ b/review/standin2/case10.go
@@ -10,11 +10,11 @@
 
 const (
 	goneWork    = 190 * time.Millisecond // of an upstream
-	goneTraffic = 62                     // clients of small requests, which keep the upstreams busy
-	goneClients = 10                     // clients that leave
+	goneTraffic = 110                    // clients of small requests, which keep the upstreams busy
+	goneClients = 18                     // clients that leave
 	gonePause   = time.Second            // between the requests of such a client, at the mean
 	goneBody    = 300000
-	goneStay    = 20 * time.Millisecond // for which such a client waits behind its last byte, at the mean
+	goneStay    = 5 * time.Millisecond // for which such a client waits behind its last byte, at the mean
 	// goneLimit is 0.1 s, and the 50 ms by which every time limit is longer on sockets.
 	goneLimit  = 150 * time.Millisecond
 	gonePlay   = 80 * time.Second // at most
@@ -32,7 +32,7 @@
 
 // goneUpload plays case 10: clients of uploads leave while their requests wait for a turn.
 func goneUpload(s *stage) ([]string, error) {
-	p, err := s.open(setup{memoryMB: 64, sockets: 384, classes: lessonClasses}, 6,
+	p, err := s.open(setup{memoryMB: 64, sockets: 384, classes: lessonClasses}, 12,
 		func(int) answerFunc { return answerAfter(goneWork) })
 	if err != nil {
 		return nil, err
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -51,6 +51,8 @@
 	}()
 	stopped := make(chan os.Signal, 1)
 	signal.Notify(stopped, syscall.SIGTERM, os.Interrupt)
+	// Without this a closed standard output would end the program before its balancers.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
 	var r result
 	select {
 	case r = <-done:
