Serve a request that arrives as a streamed response ends

Cause: a watcher reads the client's connection while a response is streamed, and was stopped only once the last write had returned. The next request of a quick client was read in that gap, and serveRequest took any byte read there for one sent before the response was whole and closed the connection.

Change: the condition is gone. What the watcher has read stays in the connection's read buffer and is served as the next request. If its client has closed, checkNoInput finds that before anything is sent, as on any other request.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -326,7 +326,8 @@
 	closing := mustClose() || resp.status == http.StatusConflict
 	if resp.responseStream != nil {
 		err := c.forwardResponse(resp.responseStream, resp.contentType, closing, w)
-		return w.stop() && w.readErr != nil && err == nil && !closing
+		// Bytes that the watcher has read are the client's next request: the response may be with it already.
+		return w.stop() && err == nil && !closing
 	}
 	complete := w.stop()
 	if err := w.readErr; complete && err == nil {
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -250,6 +250,53 @@
 	return result
 }
 
+// TestRequestBehindStreamedResponseIsServed guards against closing a kept connection whose next request arrives while the
+// write of a streamed response's last byte returns. Were it pipelined and not only quick, it could still be served.
+func TestRequestBehindStreamedResponseIsServed(t *testing.T) {
+	for framing, writeBody := range map[string]func(c net.Conn, body string){
+		"length": func(c net.Conn, body string) { fmt.Fprintf(c, "Content-Length: %d\r\n\r\n%s", len(body), body) },
+		"chunks": func(c net.Conn, body string) {
+			fmt.Fprintf(c, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		},
+	} {
+		t.Run(framing, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
+				close(b.connectGate)
+				b.sendList(50, b.addUpstream(func(c net.Conn, _ *http.Request) bool {
+					io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+					writeBody(c, string(numberedBytes(2*maxBufferedBody)))
+					return true
+				}).member("s-00000001"))
+				client := b.connectClient()
+				request := func(id int) string {
+					return checkinRequest(fmt.Sprintf("X-Request-Id: %d\r\nContent-Length: 0\r\n", id))
+				}
+				io.WriteString(client, request(1))
+				reader := bufio.NewReaderSize(client, 16) // takes no more than is asked for but some bytes
+				for id := 1; id <= 3; id++ {
+					resp, err := http.ReadResponse(reader, nil)
+					if err != nil {
+						t.Fatalf("request %d: got no response: %v", id, err)
+					}
+					want(t, "status", resp.StatusCode, http.StatusOK)
+					if _, err := io.CopyN(io.Discard, resp.Body, 2*maxBufferedBody-100); err != nil {
+						t.Fatal(err)
+					}
+					next := make(chan struct{})
+					go func() { io.WriteString(client, request(id+1)); close(next) }()
+					<-next // the balancer has read it, and is writing the last bytes of the response
+					if rest, err := io.ReadAll(resp.Body); len(rest) != 100 || err != nil {
+						t.Fatalf("request %d: got %d last bytes of the response, error %v, want 100", id, len(rest), err)
+					}
+				}
+				client.Close()
+				b.expireAndStop()
+			})
+		})
+	}
+}
+
 // TestTruncatedResponseIsNotPassedAsComplete guards against ending a truncated response as if it were complete.
 func TestTruncatedResponseIsNotPassedAsComplete(t *testing.T) {
 	t.Parallel()
