Reserve every buffer of a body from the memory budget, and size it by descriptors

Cause: the budget of bodies counted only what is kept whole. An upload under way took two buffers of 16 KiB beside it, a streamed response and a connection that is read to its end one each; the buffered start of an upload was kept to its end; a whole response was returned to the budget before its client had taken it. The budgets went by memory alone, and what connections take goes by descriptors. The balancer's log in the case: 12.5 MB of objects and 5.4 MB of stacks at 24.7 MB in use, so garbage was not the cause.

Change: streaming reserves its buffers, and uses one of 2 KiB where the budget has none; a quarter stays for bodies kept whole. No buffer is held while a peer is silent. A bodyPipe hands an upload's buffers on, in place of a copy through io.Pipe. The start of an upload is released once it is sent, a response once it is written. Discarding uses the connection's own buffer, now of 2 KiB. The budgets leave a quarter of the memory to garbage, and 12 and 28 KiB for each connection of a client and to an upstream; they are halved while two processes share the limits.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -12,6 +14,10 @@
 	// minReadWait is the time from which a read counts as having waited for the client: nothing was left to read.
 	minReadWait = time.Millisecond
 
+	// clientReadBuffer is the size of a connection's read buffer, in bytes: most heads fit, and hundreds of connections
+	// wait without a request.
+	clientReadBuffer = 2 << 10
+
 	// clientLingerTimeout and maxClientLingerBytes limit how long and how much is read and discarded after
 	// a request was refused. Closing at once would reset the connection, and the client could lose the
 	// response.
@@ -71,6 +77,14 @@
 	return n, err
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *timedConn) SyscallConn() (syscall.RawConn, error) {
+	if raw, ok := c.Conn.(syscall.Conn); ok {
+		return raw.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // lastAwaited returns when the last read that had to wait for the client ended.
 func (c *timedConn) lastAwaited() time.Time { return time.Unix(0, c.awaitedAt.Load()) }
 
@@ -105,15 +119,15 @@
 }
 
 // lingeringClose closes a TCP connection for writing, then reads and discards what the client still sends,
-// until the client closes it, wait is over or limit bytes have been read.
+// until the client closes it, wait is over or limit bytes have been read. It uses the connection's own buffer.
 func (c *client) lingeringClose(wait time.Duration, limit int64) {
 	if tcp, ok := c.timed.Conn.(*net.TCPConn); ok {
 		tcp.CloseWrite()
-		tcp.SetReadDeadline(time.Now().Add(wait))
-		p := bodyBuffers.Get().(*bodyBuffer)
-		defer bodyBuffers.Put(p)
-		for n, err := 0, error(nil); err == nil && limit > 0; limit -= int64(n) {
-			n, err = tcp.Read(p.data())
+		c.timed.limited = false
+		c.SetReadDeadline(time.Now().Add(wait))
+		c.readLimit.N = limit
+		for err := error(nil); err == nil; {
+			_, err = c.reader.Discard(c.reader.Size())
 		}
 	}
 }
--- a/internal/proxy/client_request.go
+++ b/internal/proxy/client_request.go
@@ -87,7 +87,7 @@
 	encodings := h.values("Transfer-Encoding")
 	length, hasLength := h.lookup("Content-Length")
 	n, ok := parseDigits(length)
-	var body io.Reader
+	var body bodyReader
 	switch {
 	case len(encodings) > 0 && hasLength:
 		return badRequest("both Content-Length and Transfer-Encoding")
@@ -107,6 +107,8 @@
 		return errRequestTooLarge
 	case n > 0 && method == http.MethodGet:
 		return badRequest("GET with a body")
+	case n == 0:
+		return nil
 	default:
 		body = &sizedBody{c.httpConn, int64(n)}
 	}
@@ -128,11 +130,10 @@
 	} else if complete {
 		return nil
 	}
-	rest := &upload{body: body, length: int64(n), client: c.timed.Conn}
+	rest := &upload{body: body, length: int64(n), pipe: newBodyPipe(f.memory), client: c.timed.Conn}
 	if len(encodings) > 0 {
 		rest.length = -1
 	}
-	rest.reader, rest.writer = io.Pipe()
 	req.message.rest = rest
 	return nil
 }
--- a/internal/proxy/client_response.go
+++ b/internal/proxy/client_response.go
@@ -105,23 +105,11 @@
 		closing)); err != nil {
 		return err
 	}
-	p := bodyBuffers.Get().(*bodyBuffer)
-	defer bodyBuffers.Put(p)
-	for buffered := r.buffered; len(buffered) > 0; {
-		n := copy(p.data(), buffered)
-		buffered = buffered[n:]
-		if err := writeFully(c, p.framed(n, chunked)); err != nil {
-			return err
-		}
+	if err := c.writeBuffered(r, chunked); err != nil {
+		return err
 	}
 	for {
-		r.conn.SetReadDeadline(time.Now().Add(bodyIdleTimeout))
-		n, err := r.body.Read(p.data())
-		if n > 0 {
-			if err := writeFully(c, p.framed(n, chunked)); err != nil {
-				return err
-			}
-		}
+		err := c.forwardPart(r, chunked)
 		if err == io.EOF && chunked {
 			return writeFully(c, []byte(lastChunk))
 		} else if err == io.EOF {
@@ -131,3 +119,38 @@
 		}
 	}
 }
+
+// writeBuffered writes the part of a streamed response's body that has been read, and returns its memory.
+func (c *client) writeBuffered(r *responseStream, chunked bool) error {
+	defer r.freeBuffered()
+	if len(r.buffered) == 0 {
+		return nil
+	}
+	if !chunked {
+		return writeFully(c, r.buffered)
+	}
+	if err := writeFully(c, fmt.Appendf(nil, "%x\r\n", len(r.buffered))); err != nil {
+		return err
+	}
+	if err := writeFully(c, r.buffered); err != nil {
+		return err
+	}
+	return writeFully(c, []byte("\r\n"))
+}
+
+// forwardPart reads a part of a streamed response's body from the upstream and writes it. It holds no buffer while the
+// upstream is silent. It returns io.EOF once the whole body is written.
+func (c *client) forwardPart(r *responseStream, chunked bool) error {
+	r.conn.SetReadDeadline(time.Now().Add(bodyIdleTimeout))
+	r.body.await()
+	buffer := r.memory.acquireBuffer()
+	defer r.memory.freeBuffer(buffer)
+	var readErr error
+	buffer.length, readErr = r.body.Read(buffer.space())
+	if buffer.length > 0 {
+		if err := writeFully(c, buffer.framed(chunked)); err != nil {
+			return err
+		}
+	}
+	return readErr
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -211,9 +211,32 @@
 	return 1 + maxAdminConns
 }
 
-// bodyMemoryLimit returns how many bytes of bodies may be buffered at once. The rest of the memory is for the
-// program, its connections and garbage.
-func (c *Config) bodyMemoryLimit() int64 { return int64(c.MemoryMB) << 20 / 4 }
+// Memory that no budget counts, in bytes: that of an idle process, and for each connection its objects, its read buffer,
+// small buffers and the stacks of its goroutines.
+const (
+	processMemory      = 4 << 20
+	clientConnMemory   = 12 << 10
+	upstreamConnMemory = 28 << 10 // with the request on it
+)
+
+// memoryBudgets returns how many bytes the buffers of bodies, and those of heads over uncountedHeadBytes, may take in
+// one of several processes that share the limits. They take three eighths of the memory, the rest being for the
+// program, its connections and garbage; less if there are many connections for the memory.
+func (c *Config) memoryBudgets(processes int) (bodies, heads int64) {
+	memory := int64(c.MemoryMB) << 20 / int64(processes)
+	conns := int64(c.maxClientConns()*clientConnMemory+c.maxUpstreamConns()*upstreamConnMemory) / int64(processes)
+	buffers := max(memory/16, min(memory*3/8, memory*3/4-processMemory-conns))
+	return buffers * 2 / 3, buffers / 3
+}
 
-// headMemoryLimit returns how many bytes the buffers of heads may take at once, those up to uncountedHeadBytes left out.
-func (c *Config) headMemoryLimit() int64 { return int64(c.MemoryMB) << 20 / 8 }
+// bodyMemoryLimit returns how many bytes of bodies a single process may buffer at once.
+func (c *Config) bodyMemoryLimit() int64 {
+	bodies, _ := c.memoryBudgets(1)
+	return bodies
+}
+
+// headMemoryLimit returns how many bytes the buffers of heads may take at once in a single process.
+func (c *Config) headMemoryLimit() int64 {
+	_, heads := c.memoryBudgets(1)
+	return heads
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -104,7 +104,7 @@
 		time.Sleep(newClientGracePeriod / 10)
 	}
 	timed := &timedConn{Conn: raw}
-	c := &client{httpConn: newHTTPConn(timed, 4<<10), timed: timed, acceptedAt: time.Now(), stageSince: time.Now()}
+	c := &client{httpConn: newHTTPConn(timed, clientReadBuffer), timed: timed, acceptedAt: time.Now(), stageSince: time.Now()}
 	c.headMemory = f.headMemory
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -319,6 +319,9 @@
 	resp, err := w.awaitResponse()
 	if err != nil { // the client has closed, or its bytes are not a valid request
 		req.clientGone.Store(true)
+		if rest := req.message.rest; rest != nil {
+			rest.cancel()
+		}
 		f.post(clientLeft{req})
 		f.refuse(c, err)
 		return false
@@ -329,6 +332,7 @@
 		// Bytes that the watcher has read are the client's next request: the response may be with it already.
 		return w.stop() && err == nil && !closing
 	}
+	defer f.memory.free(resp.body)
 	complete := w.stop()
 	if err := w.readErr; complete && err == nil {
 		f.refuse(c, errPipelined)
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -69,6 +69,7 @@
 	l.transport.onStreamStart = func(a *attempt, r *responseStream, load garnettide.Load) {
 		l.post(streamStarted{a, r, load})
 	}
+	l.transport.onUploadStart = func(a *attempt) { l.post(uploadStarted{a}) }
 	l.discoveryClient = newDiscoveryClient(ctx, c.Discovery, l.postList)
 	if c.InheritedFD == 0 {
 		// A process that takes over from another needs a list to become ready, so its first call requests the
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -14,18 +14,17 @@
 
 // memoryBudget limits the memory of buffers. A nil budget has no limit.
 type memoryBudget struct {
-	limit     int64 // in bytes
-	available atomic.Int64
+	limit     atomic.Int64 // in bytes
+	available atomic.Int64 // negative while more is reserved than a lowered limit allows
 }
 
-// setLimit sets the limit, in bytes, of a budget from which nothing is reserved.
+// setLimit sets the limit, in bytes.
 func (m *memoryBudget) setLimit(limit int64) {
-	m.limit = limit
-	m.available.Store(limit)
+	m.available.Add(limit - m.limit.Swap(limit))
 }
 
 // reserved returns how many bytes are reserved.
-func (m *memoryBudget) reserved() int64 { return m.limit - m.available.Load() }
+func (m *memoryBudget) reserved() int64 { return m.limit.Load() - m.available.Load() }
 
 // reserve takes n bytes and reports whether that many were available. If not, it takes none.
 func (m *memoryBudget) reserve(n int) bool {
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -25,7 +25,6 @@
 const (
 	maxInterimResponses = 16       // 1xx responses before a final one
 	maxBodyBytes        = 32 << 20 // a whole body, buffered and streamed parts together
-	bodyBufferSize      = 16 << 10 // bytes of a streamed body per read and write: few calls, and hundreds of buffers fit
 )
 
 // Errors in the messages of clients and upstreams. The text of the first is also written to clients whose requests
@@ -78,8 +77,21 @@
 	return n, err == nil
 }
 
-// The body readers return io.EOF only at the end of a complete body. They lift readLimit: their callers
-// limit what they read.
+// bodyReader reads the body of a message. It returns io.EOF only at the end of a complete body. It lifts readLimit: its
+// callers limit what they read.
+type bodyReader interface {
+	io.Reader
+	// await waits until Read has something to return, so that a caller needs no buffer meanwhile. Read reports errors.
+	await()
+}
+
+// awaitInput waits until bytes can be read without a wait, or none will come.
+func (c *httpConn) awaitInput() {
+	c.readLimit.N = math.MaxInt64
+	if c.reader.Buffered() == 0 && unreadBytes(c.Conn) == 0 {
+		c.reader.Peek(1)
+	}
+}
 
 // sizedBody reads a body with a Content-Length.
 type sizedBody struct {
@@ -87,6 +99,12 @@
 	remaining int64
 }
 
+func (b *sizedBody) await() {
+	if b.remaining > 0 {
+		b.conn.awaitInput()
+	}
+}
+
 func (b *sizedBody) Read(p []byte) (int, error) {
 	if b.remaining == 0 {
 		return 0, io.EOF
@@ -112,6 +130,8 @@
 	return &chunkedBody{c, httputil.NewChunkedReader(c.reader)}
 }
 
+func (b *chunkedBody) await() { b.conn.awaitInput() }
+
 func (b *chunkedBody) Read(p []byte) (int, error) {
 	b.conn.readLimit.N = math.MaxInt64
 	n, err := b.decoder.Read(p)
@@ -134,6 +154,8 @@
 // untilCloseBody reads a body that ends when the connection closes.
 type untilCloseBody struct{ conn *httpConn }
 
+func (b untilCloseBody) await() { b.conn.awaitInput() }
+
 func (b untilCloseBody) Read(p []byte) (int, error) {
 	b.conn.readLimit.N = math.MaxInt64
 	return b.conn.reader.Read(p)
@@ -145,7 +167,7 @@
 	contentType string
 	loadReports []string // values of X-Load
 	notRun      bool     // the upstream states that the request was not executed
-	body        io.Reader
+	body        bodyReader
 	length      int64 // of the body; -1: unknown before its end
 	closeAfter  bool  // the connection can't be reused
 }
@@ -227,33 +249,6 @@
 // headBuffers holds buffers in which request heads are rendered.
 var headBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
-// bodyBuffers holds buffers through which bodies are streamed.
-var bodyBuffers = sync.Pool{New: func() any { return new(bodyBuffer) }}
-
-const (
-	chunkHeadSize = 8 // room for the chunk size in hexadecimal digits and CRLF
-	chunkTailSize = 2 // CRLF
-)
-
-// bodyBuffer holds body bytes, with room before and after them for the framing of a chunk.
-type bodyBuffer [chunkHeadSize + bodyBufferSize + chunkTailSize]byte
-
-// data returns the part of the buffer for body bytes.
-func (b *bodyBuffer) data() []byte { return b[chunkHeadSize : chunkHeadSize+bodyBufferSize] }
-
-// framed returns the first n data bytes as they are written to a connection: as one chunk if chunked, else
-// as they are.
-func (b *bodyBuffer) framed(n int, chunked bool) []byte {
-	if !chunked || n == 0 { // an empty chunk would end the body
-		return b[chunkHeadSize : chunkHeadSize+n]
-	}
-	head := strconv.AppendInt(nil, int64(n), 16)
-	head = append(head, "\r\n"...)
-	copy(b[chunkHeadSize-len(head):], head)
-	copy(b[chunkHeadSize+n:], "\r\n")
-	return b[chunkHeadSize-len(head) : chunkHeadSize+n+chunkTailSize]
-}
-
 // lastChunk ends a body in chunked encoding.
 const lastChunk = "0\r\n\r\n"
 
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -261,6 +261,9 @@
 	}
 	slog.Info("descriptor and memory limits divided between processes", "processes", processes)
 	s.front.setConnLimit(c.maxClientConns() / processes)
+	bodies, heads := c.memoryBudgets(processes)
+	s.loop.memory.setLimit(bodies)
+	s.loop.headMemory.setLimit(heads)
 	if err := s.runOnLoop(ctx, func(l *loop) {
 		l.setConnLimit(c.maxUpstreamConns() / processes)
 	}); err != nil && ctx.Err() == nil {
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -121,6 +121,7 @@
 	}
 	select { // discards a response that the client has not taken
 	case resp := <-r.responseCh:
+		l.memory.free(resp.body)
 		if resp.responseStream != nil {
 			resp.responseStream.done <- errResponseUnwanted
 		}
@@ -150,6 +151,17 @@
 		Latency: now - a.sentAt, Status: garnettide.OK, RequestDone: true, Load: e.load})
 }
 
+// uploadStarted reports that an attempt has begun to send the rest of its request's body, so that no other attempt can
+// send the request: the part that is in memory is needed no more.
+type uploadStarted struct{ *attempt }
+
+func (e uploadStarted) apply(l *loop) {
+	if m := &e.attempt.req.message; m.rest != nil {
+		l.memory.free(m.body)
+		m.body = nil
+	}
+}
+
 // attemptFinished reports the end of an attempt on its connection.
 type attemptFinished struct {
 	*attempt
@@ -176,12 +188,15 @@
 // attempt succeeded.
 func (l *loop) reportOutcome(a *attempt, result attemptResult) {
 	if a.reported {
+		l.memory.free(result.body)
 		return
 	}
 	a.reported = true
 	req, now := a.req, l.now()
 	if result.status == garnettide.OK && !req.closed {
 		l.respond(req, clientResponse{status: http.StatusOK, body: result.body, contentType: result.contentType})
+	} else {
+		l.memory.free(result.body)
 	}
 	req.inFlight--
 	a.neverRan = result.status.NeverRan()
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -17,28 +17,15 @@
 // upload is the streamed part of a request's body. The frontend writes it into a pipe that a single attempt
 // reads, so that the client is read no faster than the upstream.
 type upload struct {
-	body     io.Reader // reads from the client's connection
-	length   int64     // of the whole body; -1: chunked
-	reader   *io.PipeReader
-	writer   *io.PipeWriter
+	body     bodyReader // reads from the client's connection
+	length   int64      // of the whole body; -1: chunked
+	pipe     *bodyPipe
 	client   net.Conn              // the client's connection, checked for a close
 	started  atomic.Bool           // an attempt has begun to read it, so no other one can
 	complete bool                  // set by the frontend when the last byte has arrived
 	failure  atomic.Pointer[error] // passed to fail
 	received atomic.Int64          // bytes of the body that have been read from the client
 	arrivals bodyArrivals
-	// blocked is set while the frontend waits for an attempt to take bytes. It stays set once the rest is not needed.
-	blocked atomic.Bool
-}
-
-// write passes bytes to the attempt that reads the body, and waits until it has taken them.
-func (u *upload) write(b []byte) error {
-	u.blocked.Store(true)
-	_, err := u.writer.Write(b)
-	if err == nil {
-		u.blocked.Store(false)
-	}
-	return err
 }
 
 // recordArrivals notes how much of the body has arrived by now, read or not. The client was last awaited at
@@ -50,7 +37,7 @@
 // fail ends the body with an error of the client's, for the attempt that reads it.
 func (u *upload) fail(err error) {
 	u.failure.Store(&err)
-	u.writer.CloseWithError(err)
+	u.pipe.close(err)
 }
 
 // clientErr returns the error passed to fail, if any. u may be nil.
@@ -78,7 +65,7 @@
 	if !closedByPeer(u.client) {
 		return false
 	}
-	u.reader.CloseWithError(errClientClosed)
+	u.pipe.cancel(errClientClosed)
 	return true
 }
 
@@ -106,7 +93,7 @@
 }
 
 // cancel fails the frontend's writes because the rest is not needed. It has no effect after the last byte.
-func (u *upload) cancel() { u.reader.CloseWithError(errBodyUnwanted) }
+func (u *upload) cancel() { u.pipe.cancel(errBodyUnwanted) }
 
 // The stages of an upload. The loop may abandon one whose last byte is not being written.
 const (
@@ -146,42 +133,47 @@
 	return a.uploadStage.CompareAndSwap(uploadOpen, uploadLastWrite) || a.uploadStage.Load() == uploadLastWrite
 }
 
-// upload streams the rest of the request's body to the upstream. If the client fails to send it, the
-// connection is closed, so that the upstream does not accept a truncated request. afterChunk tells that the
-// data of an open chunk precedes it.
-func (a *attempt) upload(u *upload, afterChunk bool) {
+// upload streams the rest of the request's body to the upstream, of which sent bytes have been written. If the client
+// fails to send it, the connection is closed, so that the upstream does not accept a truncated request. afterChunk
+// tells that the data of an open chunk precedes it.
+func (a *attempt) upload(u *upload, sent int64, afterChunk bool) {
 	defer close(a.uploadDone)
-	p := bodyBuffers.Get().(*bodyBuffer)
-	defer bodyBuffers.Put(p)
 	inChunks := u.length < 0
 	if inChunks && afterChunk {
 		io.WriteString(a.uploadConn, "\r\n") // ends the buffered chunk; an error shows in the next write
 	}
-	unsent := u.length - int64(len(a.message.body))
-	for {
-		n, err := u.reader.Read(p.data())
-		unsent -= int64(n) // stays below 0 in chunks
-		if unsent == 0 && !a.beginLastWrite() {
-			break
+	for unsent := u.length - sent; ; { // stays below 0 in chunks
+		part, err := u.pipe.read()
+		switch {
+		case err == io.EOF:
+			if !inChunks || a.beginLastWrite() && writeFully(a.uploadConn, []byte(lastChunk)) == nil {
+				a.uploadComplete.Store(true)
+			}
+			u.cancel()
+			return
+		case err != nil:
+			if u.clientErr() != nil {
+				a.uploadAborted.Store(true)
+				a.conn.Close()
+			}
+			u.cancel()
+			return
 		}
-		if n > 0 && writeFully(a.uploadConn, p.framed(n, inChunks)) != nil {
-			break // the upstream may have responded early, which the reader detects
+		unsent -= int64(part.length)
+		mayWrite := unsent != 0 || a.beginLastWrite()
+		if mayWrite {
+			err = writeFully(a.uploadConn, part.framed(inChunks))
 		}
-		if inChunks && err == io.EOF && (!a.beginLastWrite() || writeFully(a.uploadConn, []byte(lastChunk)) != nil) {
-			break
+		u.pipe.memory.freeBuffer(part)
+		if !mayWrite || err != nil { // the upstream may have responded early, which the reader detects
+			u.cancel()
+			return
 		}
-		if unsent == 0 || err == io.EOF {
+		if unsent == 0 {
 			a.uploadComplete.Store(true)
 			return
-		} else if err != nil {
-			if !errors.Is(err, io.ErrClosedPipe) { // the body was not cancelled by a response
-				a.uploadAborted.Store(true)
-				a.conn.Close()
-			}
-			break
 		}
 	}
-	u.cancel()
 }
 
 // finishUpload ends the upload when the response begins, and reports whether the whole request has been
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -163,10 +163,17 @@
 type responseStream struct {
 	upstreamResponse
 	conn     *conn
-	buffered []byte // start of the body, already read
+	buffered []byte        // start of the body, already read
+	memory   *memoryBudget // of buffered, and of further buffers
 	done     chan error
 }
 
+// freeBuffered returns the memory of the start of the body.
+func (r *responseStream) freeBuffered() {
+	r.memory.free(r.buffered)
+	r.buffered = nil
+}
+
 // errResponseUnwanted reports that the client no longer waits for a response.
 var errResponseUnwanted = errors.New("response is no longer wanted")
 
@@ -177,7 +184,7 @@
 type attemptResult struct {
 	status      garnettide.Status
 	load        garnettide.Load
-	body        []byte
+	body        []byte // memory of the budget
 	contentType string
 	conn        *conn
 }
@@ -190,6 +197,7 @@
 	memory        *memoryBudget        // for buffered bodies
 	headMemory    *memoryBudget
 	onStreamStart func(*attempt, *responseStream, garnettide.Load) // called when a response begins to be streamed
+	onUploadStart func(*attempt)                                   // called when the rest of a body begins to be streamed
 }
 
 // connect returns the idle connection if it can still be used, or a new one.
@@ -227,6 +235,7 @@
 	c.SetWriteDeadline(time.Now().Add(responseTimeout))
 	head, tail := a.message.bytes(responseTimeout) // the remaining time is known only once the connection is open
 	err = c.writeMessage(head, tail)
+	sent := int64(len(a.message.body))
 	if a.stage.Store(attemptWritten); err != nil {
 		c.Close()
 		if errors.Is(err, errPartialWrite) || a.uploadDone != nil { // the last byte was not sent
@@ -239,7 +248,9 @@
 	} else {
 		a.uploadConn = &uploadConn{Conn: c}
 		a.message.rest.started.Store(true) // receiveResponse may fail before the upload's goroutine runs
-		go a.upload(a.message.rest, len(tail) > 0)
+		a.message.body = nil
+		t.onUploadStart(a)
+		go a.upload(a.message.rest, sent, len(tail) > 0)
 	}
 	result := t.receiveResponse(a)
 	if a.uploadDone != nil {
@@ -334,16 +345,15 @@
 		c.Close()
 		return attemptResult{status: readErrorStatus(err)}
 	case complete:
-		t.memory.free(body)
 		result.body = body
 	case result.status != garnettide.OK || a.req == nil: // too long for the buffers, and not to be streamed
 		t.memory.free(body)
 		result.status, resp.closeAfter = garnettide.Error, true
 	default:
-		stream := &responseStream{upstreamResponse: resp, conn: c, buffered: body, done: make(chan error, 1)}
+		stream := &responseStream{upstreamResponse: resp, conn: c, buffered: body, memory: t.memory, done: make(chan error, 1)}
 		t.onStreamStart(a, stream, result.load)
 		err := <-stream.done
-		if t.memory.free(body); err != nil {
+		if stream.freeBuffered(); err != nil { // if no part of it has been written
 			c.Close()
 			return attemptResult{status: garnettide.Reset}
 		}
@@ -408,6 +418,7 @@
 		return attemptResult{status: garnettide.ConnectFailed}
 	}
 	r = t.receiveResponse(&attempt{conn: c})
+	defer t.memory.free(r.body)
 	if p.load && r.status == garnettide.OK {
 		if l := parseLoad([]string{strings.TrimSpace(string(r.body))}); l.Fields != 0 {
 			r.load = l
--- a/internal/proxy/watcher.go
+++ b/internal/proxy/watcher.go
@@ -89,7 +89,7 @@
 func (w *clientWatcher) bodyOverdue() bool {
 	rest, now := w.req.message.rest, time.Now()
 	rest.recordArrivals(now, w.c.timed.lastAwaited())
-	return rest.blocked.Load() && w.remainingBudget(now) <= 0
+	return rest.pipe.blocked() && w.remainingBudget(now) <= 0
 }
 
 // remainingBudget returns how long the client of a streamed body still waits, if it wrote its last byte as early as
@@ -115,31 +115,33 @@
 }
 
 // forwardBody writes the rest of a body to the pipe that an attempt reads, and posts bodyReceived once the body
-// is complete. The pipe has no buffer, so the client is read no faster than the attempt reads.
+// is complete. The client is read no faster than the attempt reads.
 func (w *clientWatcher) forwardBody() error {
 	rest := w.req.message.rest
-	p := bodyBuffers.Get().(*bodyBuffer)
-	defer bodyBuffers.Put(p)
 	for {
-		n, err := rest.body.Read(p.data())
-		if rest.received.Add(int64(n)) > maxBodyBytes {
+		rest.body.await() // without a buffer: a client may send slowly
+		buffer, err := rest.pipe.acquire()
+		if errors.Is(err, errClientClosed) {
+			return err
+		} else if err != nil {
+			return errBodyUnwanted
+		}
+		buffer.length, err = rest.body.Read(buffer.space())
+		if rest.received.Add(int64(buffer.length)) > maxBodyBytes {
 			err = errRequestTooLarge
 		}
-		if n > 0 && (err == nil || err == io.EOF) {
-			if err := rest.write(p.data()[:n]); errors.Is(err, errClientClosed) {
-				return err
-			} else if err != nil {
-				return errBodyUnwanted
-			}
+		if err == nil || err == io.EOF {
+			rest.pipe.write(buffer) // an error shows in the next call
+		} else {
+			rest.pipe.memory.freeBuffer(buffer)
+			rest.fail(err)
+			return err
 		}
 		if err == io.EOF {
 			rest.complete = true
 			w.front.post(bodyReceived{w.req, w.front.now(), w.remainingBudget(time.Now())})
-			rest.writer.Close()
+			rest.pipe.close(io.EOF)
 			return nil
-		} else if err != nil {
-			rest.fail(err)
-			return err
 		}
 	}
 }
