Let only the reader of a client's connection close it, so that no read request is lost

Cause: closeClients, makeRoom and setConnLimit closed connections that other goroutines read. They went by a stage that the reader could set only behind f.mu, which closeClients held while it closed all idle connections; readers had their bytes by then, saw themselves evicted and returned. The last byte of a slow request had the same gap before clientServing. Ruled out: unread requests, which the system resets and clients repeat.

Change: a connection is evicted by a read deadline in the past. Its goroutine either reads nothing and closes it, over unread bytes if any have come, or has read a request and withdraws the eviction. This serves drains, SIGTERM, handovers and evictions alike. makeRoom waits for the outcome, 5 ms at most. setIdle keeps a connection whose next request came with the end of a streamed response. timedConn sets all read deadlines, so that none overwrites an eviction.

Tests: TestRequestThatCrossesCloseIsServed forces the moment on four paths. TestEvictedConnectionCloses: what is evicted closes.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -35,7 +35,6 @@
 	clientReading clientStage = iota // waiting for or reading a request, or refusing it
 	clientIdle                       // between requests
 	clientServing                    // a request is in flight
-	clientEvicted                    // closed by the frontend
 )
 
 // timedConn limits the time spent waiting for a client's bytes while a request is read.
@@ -45,6 +44,7 @@
 	readingBody bool          // bytes read extend the remaining time
 	remaining   time.Duration // time that reads may still take
 	stopped     atomic.Bool   // reads fail at once
+	evicted     atomic.Bool   // reads fail at once
 	lastRead    atomic.Int64  // when bytes were last read, in Unix nanoseconds
 	awaitedAt   atomic.Int64  // when the last read that had to wait for the client ended, in Unix nanoseconds
 }
@@ -55,10 +55,7 @@
 		return c.Conn.Read(b)
 	}
 	start := time.Now()
-	c.Conn.SetReadDeadline(start.Add(c.remaining))
-	if c.stopped.Load() { // checked after the deadline is set, which may have overwritten the one set by stop
-		c.Conn.SetReadDeadline(time.Unix(0, 1))
-	}
+	c.SetReadDeadline(start.Add(c.remaining))
 	n, err := c.Conn.Read(b)
 	end := time.Now()
 	if n > 0 {
@@ -88,20 +85,54 @@
 // lastAwaited returns when the last read that had to wait for the client ended.
 func (c *timedConn) lastAwaited() time.Time { return time.Unix(0, c.awaitedAt.Load()) }
 
+// SetReadDeadline sets the deadline of reads, unless they fail at once.
+func (c *timedConn) SetReadDeadline(at time.Time) error {
+	err := c.Conn.SetReadDeadline(at)
+	if c.stopped.Load() || c.evicted.Load() { // checked after the deadline is set, which may have overwritten theirs
+		return c.Conn.SetReadDeadline(time.Unix(0, 1))
+	}
+	return err
+}
+
 // stop makes current and later reads fail with a timeout. It may be called from any goroutine.
 func (c *timedConn) stop() {
 	c.stopped.Store(true)
 	c.Conn.SetReadDeadline(time.Unix(0, 1))
 }
 
-// client is a client's connection. frontend.mu guards stage, stageSince and requestStarted.
+// evict does the same until resume is called.
+func (c *timedConn) evict() {
+	c.evicted.Store(true)
+	c.Conn.SetReadDeadline(time.Unix(0, 1))
+}
+
+// client is a client's connection. frontend.mu guards stage, stageSince, requestStarted and evicted.
 type client struct {
 	*httpConn
 	timed          *timedConn
 	acceptedAt     time.Time
 	requestStarted bool // bytes of a request have arrived
 	stage          clientStage
-	stageSince     time.Time // when the stage was entered
+	stageSince     time.Time     // when the stage was entered
+	evicted        chan struct{} // closed once an eviction has taken effect or is withdrawn; nil: not evicted
+}
+
+// evict asks the goroutine that serves c to end. Only that goroutine knows whether it has read a request, which then has
+// to be answered: in that case it withdraws the eviction. The caller holds frontend.mu.
+func (c *client) evict() {
+	if c.evicted == nil {
+		c.evicted = make(chan struct{})
+		c.timed.evict()
+	}
+}
+
+// endEviction notes that an eviction has taken effect or is withdrawn. The caller holds frontend.mu.
+func (c *client) endEviction() {
+	if c.evicted != nil {
+		close(c.evicted)
+		c.evicted = nil
+	}
+	c.timed.evicted.Store(false)
 }
 
 // stalled returns how long c has made no progress. A connection that has sent nothing for noDataEvictAfter
--- /dev/null
+++ b/internal/proxy/client_test.go
@@ -0,0 +1,115 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"garnettide"
+)
+
+// TestRequestThatCrossesCloseIsServed guards against closing a connection whose next request has just been read: its
+// goroutine had taken the bytes and waited to say so, while a drain, SIGTERM, a handover or an eviction closed it.
+func TestRequestThatCrossesCloseIsServed(t *testing.T) {
+	request := func(id string) string { return checkinRequest("X-Request-Id: " + id + "\r\nContent-Length: 0\r\n") }
+	idle := func(c *client) bool { return c.stage == clientIdle }
+	silent := func(c *client) bool { return c.stage == clientReading && !c.requestStarted }
+	for name, tt := range map[string]struct {
+		before, crossing string                    // what the client sends before the close, and as the balancer closes
+		close            func(f *frontend) *client // called with f.mu held; returns the client to be closed
+	}{
+		"drain or stop, idle connection": {request("1"), request("2"), func(f *frontend) *client {
+			f.outOfService = true
+			f.closeClients(idle)
+			return onlyClient(f)
+		}},
+		"drain or stop, new connection": {"", request("2"), func(f *frontend) *client {
+			f.outOfService = true
+			f.closeClients(silent)
+			return onlyClient(f)
+		}},
+		"eviction of an idle connection": {request("1"), request("2"), func(f *frontend) *client {
+			return f.evictLongestStalled(time.Now())
+		}},
+		"eviction of a slow client": {request("1") + request("2")[:20], request("2")[20:], func(f *frontend) *client {
+			return f.evictLongestStalled(time.Now().Add(newClientGracePeriod)) // its read has not been noted
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
+				close(b.connectGate)
+				b.sendList(50, b.addUpstream(respondOK).member("s-00000001"))
+				conn := b.connectClient()
+				reader := bufio.NewReader(conn)
+				wantOK := func() {
+					t.Helper()
+					resp, err := http.ReadResponse(reader, nil)
+					if err != nil {
+						t.Fatalf("got no response: %v", err)
+					}
+					want(t, "status", resp.StatusCode, http.StatusOK)
+					io.Copy(io.Discard, resp.Body)
+				}
+				first, rest := tt.before[:min(len(tt.before), len(request("1")))], tt.before[min(len(tt.before), len(request("1"))):]
+				if first != "" {
+					io.WriteString(conn, first)
+					wantOK()
+				}
+				io.WriteString(conn, rest)
+				time.Sleep(2 * newClientGracePeriod)
+				synctest.Wait()
+				b.front.mu.Lock()
+				io.WriteString(conn, tt.crossing) // returns once the bytes have been read
+				if tt.close(b.front) != onlyClient(b.front) {
+					t.Error("the connection was not to be closed, so the test proves nothing")
+				}
+				b.front.mu.Unlock()
+				wantOK()
+				conn.Close()
+				b.expireAndStop()
+			})
+		})
+	}
+}
+
+// onlyClient returns the only client of a frontend. The caller holds f.mu.
+func onlyClient(f *frontend) *client {
+	for c := range f.clients {
+		return c
+	}
+	panic(fmt.Sprintf("%d clients", len(f.clients)))
+}
+
+// TestEvictedConnectionCloses guards against connections that stay open behind a drain or an eviction.
+func TestEvictedConnectionCloses(t *testing.T) {
+	for name, sent := range map[string]string{
+		"silent":             "",
+		"within a request":   "POST /checkin HT",
+		"between requests":   checkinRequest("X-Request-Id: 1\r\nContent-Length: 0\r\n"),
+		"refused, lingering": "nonsense\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
+				close(b.connectGate)
+				b.sendList(50, b.addUpstream(respondOK).member("s-00000001"))
+				conn := b.connectClient()
+				go discardInput(conn)
+				io.WriteString(conn, sent)
+				time.Sleep(2 * newClientGracePeriod)
+				b.front.mu.Lock()
+				b.front.maxClients = 1
+				b.front.mu.Unlock()
+				want(t, "room is made", b.front.makeRoom(), true)
+				want(t, "closed", conn.peer.closed.Load(), true)
+				conn.Close()
+				b.expireAndStop()
+			})
+		})
+	}
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -33,6 +33,8 @@
 	// newClientGracePeriod is how long a new connection is safe from eviction while its request has not
 	// arrived, and how long the last connections accepted after SIGTERM may take to begin a request.
 	newClientGracePeriod = 50 * time.Millisecond
+	// evictionTimeout is how long an evicted connection may take to close.
+	evictionTimeout = newClientGracePeriod / 10
 	// noDataEvictAfter is the age at which a connection that has sent nothing becomes the first to be
 	// evicted. Clients with a request have begun to send it by then, even after waiting in a full accept
 	// queue.
@@ -118,25 +120,43 @@
 		c.Close()
 		f.mu.Lock()
 		delete(f.clients, c)
+		c.endEviction()
 		f.mu.Unlock()
 	})
 }
 
-// makeRoom reports whether there is room for one more connection. If there is none, it evicts the one that
-// has made no progress for longest. Connections with a request in flight are not evicted, nor are those that
-// are new, or whose request is being read, and have made progress within newClientGracePeriod. Running out
-// of descriptors would also fail connections to upstreams and discovery.
+// makeRoom reports whether there is room for one more connection. If there is none, it evicts connections until there
+// is, or until none can be evicted. Running out of descriptors would also fail connections to upstreams and discovery.
 func (f *frontend) makeRoom() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.clients) < f.maxClients {
-		return true
+	for {
+		f.mu.Lock()
+		if len(f.clients) < f.maxClients {
+			f.mu.Unlock()
+			return true
+		}
+		victim := f.evictLongestStalled(time.Now())
+		if victim == nil {
+			f.mu.Unlock()
+			return false
+		}
+		ended := victim.evicted
+		f.mu.Unlock()
+		select {
+		case <-ended:
+		case <-time.After(evictionTimeout): // it is being written to
+			return false
+		}
 	}
-	now := time.Now()
+}
+
+// evictLongestStalled evicts the connection that has made no progress for longest, and returns it, or nil if none can
+// be evicted. Connections with a request in flight are not evicted, nor are those that are new, or whose request is
+// being read, and have made progress within newClientGracePeriod. The caller holds f.mu.
+func (f *frontend) evictLongestStalled(now time.Time) *client {
 	var victim *client
 	var longest time.Duration
 	for c := range f.clients {
-		if c.stage == clientServing || c.stage == clientEvicted {
+		if c.stage == clientServing || c.evicted != nil {
 			continue
 		}
 		if stalled := c.stalled(now); (c.stage == clientIdle || stalled >= newClientGracePeriod) &&
@@ -145,22 +165,38 @@
 		}
 	}
 	if victim != nil {
-		victim.stage = clientEvicted
-		victim.Close()
-		delete(f.clients, victim)
+		victim.evict()
 	}
-	return victim != nil
+	return victim
 }
 
-// setStage moves c to a stage. It reports false if c has been evicted, or if c would become idle while the
-// frontend is closed or draining.
-func (f *frontend) setStage(c *client, s clientStage) bool {
+// setStage moves c to a stage in which a request is read or served, and withdraws an eviction: bytes of a request have
+// been read, which must not be dropped.
+func (f *frontend) setStage(c *client, s clientStage) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c.stage == clientEvicted || (s == clientIdle && (f.closed || f.outOfService)) {
+	c.endEviction()
+	c.stage, c.stageSince, c.requestStarted = s, time.Now(), true
+}
+
+// setRefusing notes that the request on c is being refused, so that c may be evicted.
+func (f *frontend) setRefusing(c *client) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.evicted == nil {
+		c.stage, c.stageSince, c.requestStarted = clientReading, time.Now(), true
+	}
+}
+
+// setIdle notes that c is between two requests. It reports false if c is to be closed, as the frontend is closed or
+// draining and c has not sent its next request.
+func (f *frontend) setIdle(c *client) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if (f.closed || f.outOfService) && c.reader.Buffered() == 0 {
 		return false
 	}
-	c.stage, c.stageSince, c.requestStarted = s, time.Now(), s != clientIdle
+	c.stage, c.stageSince, c.requestStarted = clientIdle, time.Now(), false
 	return true
 }
 
@@ -243,19 +279,18 @@
 // flight.
 func (f *frontend) setConnLimit(n int) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.maxClients = n
-	over := len(f.clients) - n
-	f.mu.Unlock()
-	for ; over > 0 && f.makeRoom(); over-- {
+	now := time.Now()
+	for over := len(f.clients) - n; over > 0 && f.evictLongestStalled(now) != nil; over-- {
 	}
 }
 
-// closeClients closes the connections that match. The caller holds f.mu.
+// closeClients evicts the connections that match. The caller holds f.mu.
 func (f *frontend) closeClients(match func(*client) bool) {
 	for c := range f.clients {
 		if match(c) {
-			c.stage = clientEvicted
-			c.Close()
+			c.evict()
 		}
 	}
 }
@@ -272,9 +307,7 @@
 		if _, err := c.reader.Peek(1); err != nil {
 			return
 		}
-		if !f.setStage(c, clientReading) {
-			return
-		}
+		f.setStage(c, clientReading)
 		c.timed.limited, c.timed.readingBody, c.timed.remaining = true, false, requestHeadTimeout
 		if first { // the first request's time counts from the accept
 			c.timed.remaining -= time.Since(c.acceptedAt)
@@ -286,10 +319,14 @@
 			f.refuse(c, err)
 			return
 		}
-		if !f.setStage(c, clientServing) || !f.serveRequest(c, req, clientCloses) || !f.setStage(c, clientIdle) {
+		f.setStage(c, clientServing)
+		if !f.serveRequest(c, req, clientCloses) {
 			return
 		}
 		c.SetReadDeadline(time.Now().Add(clientIdleTimeout))
+		if !f.setIdle(c) {
+			return
+		}
 	}
 }
 
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -552,11 +552,11 @@
 		add(clientReading, true, 3*time.Second, 100*time.Millisecond), // slow, but making progress
 	}
 	for i, c := range evictionOrder {
-		if !front.makeRoom() || c.stage != clientEvicted {
+		if victim := front.evictLongestStalled(now); victim != c || c.evicted == nil {
 			t.Fatalf("connection %d was not evicted in its turn", i)
 		}
 	}
-	if front.makeRoom() || served.stage != clientServing || fresh.stage != clientReading {
+	if front.evictLongestStalled(now) != nil || served.evicted != nil || fresh.evicted != nil {
 		t.Error("a connection with a request in flight, or a new one, was evicted")
 	}
 }
--- a/internal/proxy/watcher.go
+++ b/internal/proxy/watcher.go
@@ -38,9 +38,6 @@
 		}
 		c.timed.limited = false
 		c.SetReadDeadline(time.Time{})
-		if c.timed.stopped.Load() { // stop may have run before the deadline was cleared
-			c.SetReadDeadline(time.Unix(0, 1))
-		}
 		c.readLimit.N = maxHeadBytes
 		_, err := c.reader.Peek(1)
 		w.readDone <- err
