Forward each byte of a chunk as it arrives, by a chunk reader that waits for nothing more

Cause: httputil's chunk reader returns only once the caller's buffer is full or a chunk ends. writeStream waited in it with bytes in hand, and so did memoryBudget.collect, which responseBufferTime bounds only between reads. Ruled out: responses with a length or without one, whose reads return what has come.

Change: chunkedBody reads the framing itself. Read returns what has arrived; await waits until there is something, and consumes nothing, so that a timeout ends the wait for the start of a response and reading goes on behind it. The library has no such reader: its error after a timeout is final.

Tests: TestPartOfChunkIsForwarded stops an upstream at five places, TestSlowChunkIsNotCutOff lets it write slowly.

--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -10,7 +10,6 @@
 	"math"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"strconv"
 	"strings"
 	"sync"
@@ -81,16 +80,21 @@
 // callers limit what they read.
 type bodyReader interface {
 	io.Reader
-	// await waits until Read has something to return, so that a caller needs no buffer meanwhile. Read reports errors.
-	await()
+	// Read waits only if nothing has arrived.
+	//
+	// await waits until Read has something to return. A caller needs no buffer meanwhile, and can go on behind a timeout.
+	// Read returns any other error again.
+	await() error
 }
 
 // awaitInput waits until bytes can be read without a wait, or none will come.
-func (c *httpConn) awaitInput() {
+func (c *httpConn) awaitInput() error {
 	c.readLimit.N = math.MaxInt64
-	if c.reader.Buffered() == 0 && unreadBytes(c.Conn) == 0 {
-		c.reader.Peek(1)
+	if c.reader.Buffered() > 0 || unreadBytes(c.Conn) > 0 {
+		return nil
 	}
+	_, err := c.reader.Peek(1)
+	return err
 }
 
 // sizedBody reads a body with a Content-Length.
@@ -99,10 +103,11 @@
 	remaining int64
 }
 
-func (b *sizedBody) await() {
-	if b.remaining > 0 {
-		b.conn.awaitInput()
+func (b *sizedBody) await() error {
+	if b.remaining == 0 {
+		return nil
 	}
+	return b.conn.awaitInput()
 }
 
 func (b *sizedBody) Read(p []byte) (int, error) {
@@ -119,42 +124,10 @@
 	return n, err
 }
 
-// chunkedBody reads a body in chunked encoding. The trailer is read and discarded, which HTTP permits.
-type chunkedBody struct {
-	conn    *httpConn
-	decoder io.Reader
-}
-
-// newChunkedBody returns a reader of the chunked body that follows a head.
-func (c *httpConn) newChunkedBody() *chunkedBody {
-	return &chunkedBody{c, httputil.NewChunkedReader(c.reader)}
-}
-
-func (b *chunkedBody) await() { b.conn.awaitInput() }
-
-func (b *chunkedBody) Read(p []byte) (int, error) {
-	b.conn.readLimit.N = math.MaxInt64
-	n, err := b.decoder.Read(p)
-	if err == nil || errors.Is(err, io.ErrUnexpectedEOF) {
-		return n, err
-	} else if netErr := net.Error(nil); errors.As(err, &netErr) {
-		return n, err
-	} else if err != io.EOF {
-		return n, errAmbiguousFraming
-	}
-	b.conn.readLimit.N = maxHeadBytes
-	if err := b.conn.discardTrailer(); errors.Is(err, io.EOF) {
-		return n, io.ErrUnexpectedEOF
-	} else if err != nil {
-		return n, err
-	}
-	return n, io.EOF
-}
-
 // untilCloseBody reads a body that ends when the connection closes.
 type untilCloseBody struct{ conn *httpConn }
 
-func (b untilCloseBody) await() { b.conn.awaitInput() }
+func (b untilCloseBody) await() error { return b.conn.awaitInput() }
 
 func (b untilCloseBody) Read(p []byte) (int, error) {
 	b.conn.readLimit.N = math.MaxInt64
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -142,14 +142,11 @@
 	a.setReadDeadline(time.Unix(0, 1))
 }
 
-// waitReadable waits until reading the response would not block. It reports false if nothing has arrived by
-// the given time.
-func (a *attempt) waitReadable(until time.Time) bool {
-	if a.conn.reader.Buffered() > 0 {
-		return true
-	}
+// awaitBody waits until a part of the response's body has arrived, or its end. It reports false if nothing has by the
+// given time.
+func (a *attempt) awaitBody(body bodyReader, until time.Time) bool {
 	a.conn.SetReadDeadline(until)
-	_, err := a.conn.reader.Peek(1)
+	err := body.await()
 	a.conn.SetReadDeadline(time.Time{})
 	if at := a.readDeadline.Load(); at != 0 { // set by the loop in the meantime
 		a.conn.SetReadDeadline(time.Unix(0, at))
@@ -338,7 +335,7 @@
 	}
 	bufferUntil := time.Now().Add(responseBufferTime)
 	body, complete, err := t.memory.collect(resp.body, func() bool {
-		return resp.length >= 0 && resp.length <= maxBufferedBody || resp.length < 0 && a.waitReadable(bufferUntil)
+		return resp.length >= 0 && resp.length <= maxBufferedBody || resp.length < 0 && a.awaitBody(resp.body, bufferUntil)
 	})
 	switch {
 	case err != nil:
