Pause connections that keep the process busy, so that one client does not delay all others

Cause: the flooding goroutine never waits. With one processor the runtime preempts it after 10 ms, and polls the network only as often, and each step of another request has to wait for that.

Change: the workSlicer of reloads, now in a file of its own, also counts a client connection's work since a read last had to wait. After 250 µs it pauses for as long; then the network is polled.

TestFloodOfHealthChecksLeavesTimeToOthers fails without the pause: 4.9 ms for 5 ms of work.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -47,17 +47,28 @@
 	evicted     atomic.Bool   // reads fail at once
 	lastRead    atomic.Int64  // when bytes were last read, in Unix nanoseconds
 	awaitedAt   atomic.Int64  // when the last read that had to wait for the client ended, in Unix nanoseconds
+	slicer      workSlicer    // of the work since a read last had to wait; used by the goroutine that reads
+}
+
+// newTimedConn wraps a client's connection.
+func newTimedConn(raw net.Conn) *timedConn {
+	return &timedConn{Conn: raw, slicer: workSlicer{sliceStart: time.Now(), pause: time.Sleep}}
 }
 
 // Read reads from the connection. If limited is set, it fails with a timeout once remaining is used up.
 func (c *timedConn) Read(b []byte) (int, error) {
-	if !c.limited {
-		return c.Conn.Read(b)
-	}
 	start := time.Now()
-	c.SetReadDeadline(start.Add(c.remaining))
+	if c.limited {
+		c.SetReadDeadline(start.Add(c.remaining))
+	}
 	n, err := c.Conn.Read(b)
 	end := time.Now()
+	if end.Sub(start) >= workSlice {
+		c.slicer.sliceStart = end
+	}
+	if !c.limited {
+		return n, err
+	}
 	if n > 0 {
 		c.lastRead.Store(end.UnixNano())
 	}
--- a/internal/proxy/client_request.go
+++ b/internal/proxy/client_request.go
@@ -120,7 +120,10 @@
 		return &refusal{http.StatusExpectationFailed, "nothing but 100-continue is expected here"}
 	}
 	c.timed.readingBody = true
-	buffered, complete, err := f.memory.collect(body, always)
+	buffered, complete, err := f.memory.collect(body, func() bool {
+		c.timed.slicer.checkTime()
+		return true
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/proxy/client_test.go
+++ b/internal/proxy/client_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,3 +115,54 @@
 		})
 	}
 }
+
+// TestFloodOfHealthChecksLeavesTimeToOthers guards against one client keeping the process busy: on one connection it sends
+// small requests faster than they are answered, and other clients wait for 10 ms at each step of their own.
+func TestFloodOfHealthChecksLeavesTimeToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const checks, workOfCheck = 50, 100 * time.Microsecond
+		b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
+		post := b.front.post
+		b.front.post = func(e event) {
+			time.Sleep(workOfCheck) // stands for work: the clock of the test stands still while the program runs
+			post(e)
+		}
+		conn := b.connectClient()
+		go discardInput(conn)
+		begin := time.Now()
+		flood := strings.Repeat("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n", checks)
+		io.WriteString(conn, flood[:len(flood)-1])
+		io.WriteString(conn, flood[len(flood)-1:]) // the last request is complete once all others have been answered
+		synctest.Wait()
+		work := checks * workOfCheck
+		if took := time.Since(begin); took < work*3/2 {
+			t.Errorf("got %d checks answered in %v, want pauses of about the work's %v", checks, took, work)
+		}
+		conn.Close()
+		b.expireAndStop()
+	})
+}
+
+// TestUploadInTinyChunksLeavesTimeToOthers guards against the same by a body in chunks of one byte.
+func TestUploadInTinyChunksLeavesTimeToOthers(t *testing.T) {
+	const chunks = 20000
+	text := strings.Repeat("1\r\na\r\n", chunks) + "0\r\n\r\n"
+	near, far := net.Pipe()
+	defer near.Close()
+	go func() { io.WriteString(far, text); far.Close() }()
+	timed := newTimedConn(near)
+	paused := time.Duration(0)
+	timed.slicer.pause = func(worked time.Duration) { paused += worked }
+	timed.slicer.sliceStart = time.Now().Add(-time.Hour) // as if it had worked for long
+	front := &frontend{memory: newBodyMemory()}
+	c := &client{httpConn: newHTTPConn(timed, clientReadBuffer), timed: timed}
+	req := &request{}
+	h := headOf("Transfer-Encoding: chunked")
+	if err := front.readBody(c, req, http.MethodPost, &h); err != nil {
+		t.Fatal(err)
+	}
+	want(t, "body bytes", len(req.message.body), chunks)
+	if paused < workSlice {
+		t.Errorf("got pauses of %v, want %v at least", paused, workSlice)
+	}
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -105,7 +105,7 @@
 	for !f.makeRoom() {
 		time.Sleep(newClientGracePeriod / 10)
 	}
-	timed := &timedConn{Conn: raw}
+	timed := newTimedConn(raw)
 	c := &client{httpConn: newHTTPConn(timed, clientReadBuffer), timed: timed, acceptedAt: time.Now(), stageSince: time.Now()}
 	c.headMemory = f.headMemory
 	f.mu.Lock()
@@ -338,7 +338,11 @@
 		c.timed.limited = false
 		resp := f.healthResponse()
 		closing := mustClose()
-		return c.writeResponse(resp, closing) == nil && !closing
+		if c.writeResponse(resp, closing) != nil || closing {
+			return false
+		}
+		c.timed.slicer.checkTime() // further ones may have been read already
+		return true
 	}
 	if req.message.rest == nil { // the client may have closed while the request waited to be read
 		c.SetReadDeadline(time.Time{})
--- a/internal/proxy/message_test.go
+++ b/internal/proxy/message_test.go
@@ -101,7 +101,7 @@
 		`"name":"checkin","target_us":2000000,"give_up_us":4000000`,
 		`"name":"checkin","target_us":1000000,"give_up_us":1000000`).Plan)
 	f.Fuzz(func(t *testing.T, text []byte) {
-		limitedConn := &timedConn{Conn: readerConn{Reader: bytes.NewReader(text)}}
+		limitedConn := newTimedConn(readerConn{Reader: bytes.NewReader(text)})
 		c := &client{httpConn: newHTTPConn(limitedConn, 4<<10), timed: limitedConn}
 		c.readLimit.N = maxHeadBytes
 		req, _, err := front.readRequest(c)
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -18,44 +18,11 @@
 // and then handed to the loop as a whole. See docs/RELOAD.md.
 
 const (
-	// reloadSlice is how long a reload works before it pauses for the same time. The process has one core, so
-	// the loop may have to wait for the end of a slice; 3.6 ms is all that may be added to a request.
-	reloadSlice = 250 * time.Microsecond
 	// configChunkSize is how much of the file is read or hashed between two checks of the time.
-	configChunkSize   = 32 << 10
-	stepsPerTimeCheck = 16 // work steps between two checks of the time
-	configHashBytes   = 6  // bytes of a file's SHA-256 shown as its hash
+	configChunkSize = 32 << 10
+	configHashBytes = 6 // bytes of a file's SHA-256 shown as its hash
 )
 
-// workSlicer divides long work into slices and pauses between them. A nil workSlicer never pauses.
-type workSlicer struct {
-	steps      int // since the time was last checked
-	sliceStart time.Time
-	pause      func(worked time.Duration)
-}
-
-// step is called after each small step of work, of a few microseconds.
-func (s *workSlicer) step() {
-	if s == nil {
-		return
-	}
-	if s.steps++; s.steps >= stepsPerTimeCheck {
-		s.checkTime()
-	}
-}
-
-// checkTime pauses for as long as the slice has lasted, once it has lasted for reloadSlice.
-func (s *workSlicer) checkTime() {
-	if s == nil {
-		return
-	}
-	s.steps = 0
-	if worked := time.Since(s.sliceStart); worked >= reloadSlice {
-		s.pause(min(worked, 4*reloadSlice)) // a longer slice includes time spent waiting
-		s.sliceStart = time.Now()
-	}
-}
-
 // fileChunks is the content of a file in chunks, for reading. A single buffer of the file's size would take
 // long to allocate and add to the garbage collector's work all at once.
 type fileChunks [][]byte
--- a/internal/proxy/reload_test.go
+++ b/internal/proxy/reload_test.go
@@ -821,17 +821,17 @@
 		var pauses []time.Duration
 		slicer := &workSlicer{sliceStart: time.Now(), pause: func(d time.Duration) { pauses = append(pauses, d) }}
 		for range 100 * stepsPerTimeCheck {
-			time.Sleep(reloadSlice / 50) // simulates work
+			time.Sleep(workSlice / 50) // simulates work
 			slicer.step()
 		}
 		total := time.Duration(0)
 		for _, d := range pauses {
-			if d < reloadSlice || d > 2*reloadSlice {
-				t.Errorf("got a pause of %v, want one to two slices of %v", d, reloadSlice)
+			if d < workSlice || d > 2*workSlice {
+				t.Errorf("got a pause of %v, want one to two slices of %v", d, workSlice)
 			}
 			total += d
 		}
-		if work := 100 * stepsPerTimeCheck * reloadSlice / 50; total < work*9/10 {
+		if work := 100 * stepsPerTimeCheck * workSlice / 50; total < work*9/10 {
 			t.Errorf("got pauses of %v for work of %v, want nine tenths of it or more", total, work)
 		}
 	})
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -535,7 +535,7 @@
 	add := func(initialStage clientStage, started bool, stageAge, readAge time.Duration) *client {
 		near, far := net.Pipe()
 		t.Cleanup(func() { near.Close(); far.Close() })
-		limitedConn := &timedConn{Conn: near}
+		limitedConn := newTimedConn(near)
 		limitedConn.lastRead.Store(now.Add(-readAge).UnixNano())
 		c := &client{httpConn: newHTTPConn(limitedConn, 16), timed: limitedConn, stage: initialStage,
 			requestStarted: started, stageSince: now.Add(-stageAge)}
--- a/internal/proxy/watcher.go
+++ b/internal/proxy/watcher.go
@@ -127,6 +127,7 @@
 		if rest.received.Add(int64(buffer.length)) > maxBodyBytes {
 			err = errRequestTooLarge
 		}
+		w.c.timed.slicer.checkTime()
 		if err == nil || err == io.EOF {
 			rest.pipe.write(buffer) // an error shows in the next call
 		} else {
