Keep the IDs of requests that may have run, so that one that comes again runs once

Cause: openIDs has an ID only while its request is open, and only in the process that has it. Ruled out: two attempts beside each other in one process; while the first was out the second request was answered 409 before too.

Change: the ID of a request that may not simply be repeated is claimed when it is received, and kept for a minute after its end if an attempt may have run and its client is not known to have the response. A request whose ID is kept is answered 409, as one with an open ID was. Not taken: keeping IDs of answered requests too; TestDuplicateOpenRequestIDIsRejected wants them to be usable again.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -371,7 +371,9 @@
 	if resp.responseStream != nil {
 		err := c.forwardResponse(resp.responseStream, resp.contentType, closing, w)
 		// Bytes that the watcher has read are the client's next request: the response may be with it already.
-		return w.stop() && err == nil && !closing
+		complete := w.stop()
+		w.reportDelivery(err)
+		return complete && err == nil && !closing
 	}
 	defer f.memory.free(resp.body)
 	complete := w.stop()
@@ -379,7 +381,9 @@
 		f.refuse(c, errPipelined)
 		return false
 	}
+	w.reportDelivery(nil) // before the client can send the request again on another connection
 	if err := c.writeResponse(resp, closing || !complete); err != nil {
+		f.post(responseLost{req})
 		return false
 	}
 	if !complete {
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -41,6 +41,7 @@
 	timers          timers
 	requests        map[garnettide.RequestID]*request
 	openIDs         map[string]bool // client request IDs of the entries of requests
+	requestIDs      *requestIDTable // of requests that may not simply be repeated
 	upstreams       map[garnettide.UpstreamID]*upstream
 	inMaintenance   map[string]garnettide.UpstreamID // upstreams in maintenance, by discovery ID
 	recentIDs       *recentIDs
@@ -56,7 +57,7 @@
 		transport:           upstreamTransport{open: net.DialTimeout, timeout: c.ConnTimeouts.ConnectTimeout},
 		settings:            c.Plan.Settings(),
 		upstreamIdleTimeout: upstreamIdleTimeout(c.ConnTimeouts), maxConns: c.maxUpstreamConns(),
-		upstreamIDs: newUpstreamIDs(), requests: map[garnettide.RequestID]*request{}, openIDs: map[string]bool{},
+		upstreamIDs: newUpstreamIDs(), requests: map[garnettide.RequestID]*request{}, openIDs: map[string]bool{}, requestIDs: &requestIDTable{},
 		upstreams: map[garnettide.UpstreamID]*upstream{}, inMaintenance: map[string]garnettide.UpstreamID{},
 		recentIDs: newRecentIDs(), onListApplied: c.OnListApplied}
 	// The clock starts at Unix time, so that discovery's timestamps can be compared with it, and advances with
--- a/internal/proxy/memnet_test.go
+++ b/internal/proxy/memnet_test.go
@@ -234,11 +234,16 @@
 	return n
 }
 
-// upstreamConns returns how many connections to upstreams the loop counts.
-func (b *memBalancer) upstreamConns() (n int) {
-	call := adminLoopCall{func(l *loop) { n = l.connCount }, make(chan struct{})}
+// runOnLoop runs a function on the loop and waits until it has returned.
+func (b *memBalancer) runOnLoop(fn func(*loop)) {
+	call := adminLoopCall{fn, make(chan struct{})}
 	b.adminCalls <- call
 	<-call.done
+}
+
+// upstreamConns returns how many connections to upstreams the loop counts.
+func (b *memBalancer) upstreamConns() (n int) {
+	b.runOnLoop(func(l *loop) { n = l.connCount })
 	return n
 }
 
@@ -534,9 +539,7 @@
 
 // appliedRevision returns the revision of the list that the loop has applied.
 func (b *memBalancer) appliedRevision() (revision int) {
-	done := make(chan struct{})
-	b.adminCalls <- adminLoopCall{fn: func(l *loop) { revision = int(l.revision) }, done: done}
-	<-done
+	b.runOnLoop(func(l *loop) { revision = int(l.revision) })
 	return revision
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -31,6 +31,9 @@
 		}
 		defer state.close()
 		savedOrders = *state.current.Load()
+		if state.shared {
+			l.shareRequestIDs(state.path + ".ids")
+		}
 	}
 	l.start(&c, savedOrders.Offline)
 	c.Plan, c.CachedList = nil, discoveryList{} // the loop has the current ones
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -34,6 +34,9 @@
 	attempts    []*attempt
 	inFlight    int  // attempts whose outcome has not been reported
 	closed      bool // the response has been sent, or the client is gone
+
+	idClaimed         bool // the loop's table of IDs has the request's
+	responseDelivered bool // the client has the response
 }
 
 // pendingOutcome is an outcome that is reported once the Balancer has returned.
@@ -47,13 +50,12 @@
 
 func (e requestReceived) apply(l *loop) {
 	r := e.request
-	if l.openIDs[r.clientRequestID] { // the upstream could not tell the two apart; the earlier one goes on
+	if !l.claimID(r) {
 		r.closed = true
 		r.message.release(&l.memory)
 		r.responseCh <- clientResponse{status: http.StatusConflict}
 		return
 	}
-	l.openIDs[r.clientRequestID] = true
 	l.serial++
 	r.ID = garnettide.RequestID(l.serial) // not the client's ID, which need not be unique
 	now := l.now()
@@ -276,8 +278,8 @@
 	if r.closed && r.inFlight == 0 {
 		if _, open := l.requests[r.ID]; open {
 			r.message.release(&l.memory)
+			l.releaseRequestID(r)
 		}
 		delete(l.requests, r.ID)
-		delete(l.openIDs, r.clientRequestID)
 	}
 }
--- a/internal/proxy/watcher.go
+++ b/internal/proxy/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 )
@@ -111,6 +112,17 @@
 	return rest == nil || rest.complete
 }
 
+// reportDelivery posts responseDelivered unless the response could not be written or the client has closed its
+// connection. It is called after stop.
+func (w *clientWatcher) reportDelivery(writeErr error) {
+	timeout := net.Error(nil)
+	connected := w.readErr == nil || errors.Is(w.readErr, errBodyUnwanted) ||
+		errors.As(w.readErr, &timeout) && timeout.Timeout()
+	if writeErr == nil && connected && w.req.unsafe() {
+		w.front.post(responseDelivered{w.req})
+	}
+}
+
 // forwardBody writes the rest of a body to the pipe that an attempt reads, and posts bodyReceived once the body
 // is complete. The client is read no faster than the attempt reads.
 func (w *clientWatcher) forwardBody() error {
