Read on the body of a request that waits, so that a close behind it is seen

Cause: the frontend read 64 KiB of a body and the rest only as an attempt took it. A close comes behind the bytes before it. While those wait at the client's machine, neither a read nor the state of the TCP connection shows it.

Change: from 25 ms on, a request that waits has its body read on into its pipe, a quarter of the budget of bodies at most. Once an attempt reads, a part is taken for each that is sent, as before. A request of whose body bytes have been left unread for 0.1 s for want of memory is refused with 503 when its turn comes: it has not run, and its client may be gone. Not taken: reading on for all uploads; that ends the client's clock earlier than its upstream takes the body, and TestUploadLongerThanDeadlineIsServed failed.

--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -561,6 +562,25 @@
 	}
 }
 
+// newRefusingAddress returns an address that refuses connections until the test ends: its socket is bound, so that no
+// server can take the port, and does not listen.
+func newRefusingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	address, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", address.(*syscall.SockaddrInet4).Port)
+}
+
 // TestUnreadUploadOfClosedClientIsNotSent guards against sending an upload whose client has closed or reset its
 // connection. Unread body bytes hide the close until an attempt reads the body, also after an attempt that was refused.
 func TestUnreadUploadOfClosedClientIsNotSent(t *testing.T) {
@@ -579,12 +599,7 @@
 				})
 				var members []member
 				if refusedFirst {
-					l, err := net.Listen("tcp", "127.0.0.1:0")
-					if err != nil {
-						t.Fatal(err)
-					}
-					members = []member{upMember("s-00000002", &testUpstream{addr: l.Addr().String()})}
-					l.Close()
+					members = []member{upMember("s-00000002", &testUpstream{addr: newRefusingAddress(t)})}
 				}
 				b := startBalancer(t, members...)
 				c := b.dialClient(t)
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -14,8 +15,7 @@
 // This file streams the bodies of requests that exceed the buffer: from the client into a pipe, and from there to
 // the upstream of one attempt.
 
-// upload is the streamed part of a request's body. The frontend writes it into a pipe that a single attempt
-// reads, so that the client is read no faster than the upstream.
+// upload is the streamed part of a request's body. The frontend writes it into a pipe that a single attempt reads.
 type upload struct {
 	body     bodyReader // reads from the client's connection
 	length   int64      // of the whole body; -1: chunked
@@ -51,22 +51,33 @@
 	return nil
 }
 
-// errBodyUnwanted is returned to the frontend's writes when the rest of a body is not needed.
-var errBodyUnwanted = errors.New("rest of the request body not needed")
+// Errors with which a body's pipe is cancelled, and that its writer returns.
+var (
+	// errBodyUnwanted reports that the rest of a body is not needed.
+	errBodyUnwanted = errors.New("rest of the request body not needed")
+	// errClientClosed reports that the client has closed its connection after body bytes that have not been read.
+	errClientClosed = errors.New("client closed its connection")
+	// errBodyMemory reports that whether the client is still there cannot be told, for want of memory to read its body.
+	errBodyMemory = &refusal{http.StatusServiceUnavailable, "no memory is left for a body of this size"}
+)
 
-// errClientClosed is returned to the frontend's writes when the client has closed its connection after body
-// bytes that have not been read.
-var errClientClosed = errors.New("client closed its connection")
+// maxHiddenTime is how long a client's connection may have been left unread, with bytes to be read, when an attempt of
+// its request begins. An attempt must not begin later than this behind the client's close.
+const maxHiddenTime = 100 * time.Millisecond
 
-// clientClosed reports whether the client has closed its connection, and if so fails the frontend's writes.
-// Reading can't detect a close behind body bytes, which are not read until an attempt needs them. The state
-// of the TCP connection shows it, unless the unread bytes exceed the receive buffer.
-func (u *upload) clientClosed() bool {
-	if !closedByPeer(u.client) {
-		return false
+// stopIfClosed reports whether the client has closed its connection, or may have done so unseen, and if so ends the
+// body. Reading shows a close only behind the body bytes before it. The state of the TCP connection shows one behind
+// what its receive buffer holds.
+func (u *upload) stopIfClosed() bool {
+	if closedByPeer(u.client) {
+		u.pipe.cancel(errClientClosed)
+		return true
+	}
+	if waited, blocked := u.pipe.blocked(); blocked && waited >= maxHiddenTime && unreadBytes(u.client) > 0 {
+		u.pipe.cancel(errBodyMemory)
+		return true
 	}
-	u.pipe.cancel(errClientClosed)
-	return true
+	return false
 }
 
 // States of a TCP connection that the peer has ended, as numbered in Linux's include/net/tcp_states.h.
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -273,7 +273,7 @@
 			a.drop()
 		}
 	}
-	if rest := a.message.rest; rest != nil && rest.clientClosed() {
+	if rest := a.message.rest; rest != nil && !rest.started.Load() && rest.stopIfClosed() {
 		a.req.clientGone.Store(true)
 	}
 	if a.req.clientGone.Load() {
--- a/internal/proxy/watcher.go
+++ b/internal/proxy/watcher.go
@@ -74,6 +74,7 @@
 			w.readDone <- err // for stop
 			readDone = nil
 		case <-bodyChecks:
+			w.req.message.rest.pipe.readAhead()
 			if w.bodyOverdue() {
 				bodyChecks = nil
 				w.front.post(bodyExpired{w.req})
@@ -87,7 +88,8 @@
 func (w *clientWatcher) bodyOverdue() bool {
 	rest, now := w.req.message.rest, time.Now()
 	rest.recordArrivals(now, w.c.timed.lastAwaited())
-	return rest.pipe.blocked() && w.remainingBudget(now) <= 0
+	_, blocked := rest.pipe.blocked()
+	return blocked && w.remainingBudget(now) <= 0
 }
 
 // remainingBudget returns how long the client of a streamed body still waits, if it wrote its last byte as early as
@@ -124,19 +126,18 @@
 }
 
 // forwardBody writes the rest of a body to the pipe that an attempt reads, and posts bodyReceived once the body
-// is complete. The client is read no faster than the attempt reads.
+// is complete. Once an attempt reads, the client is read no faster.
 func (w *clientWatcher) forwardBody() error {
 	rest := w.req.message.rest
 	for {
 		rest.body.await() // without a buffer: a client may send slowly
 		buffer, err := rest.pipe.acquire()
-		if errors.Is(err, errClientClosed) {
+		if err != nil {
 			return err
-		} else if err != nil {
-			return errBodyUnwanted
 		}
-		buffer.length, err = rest.body.Read(buffer.space())
-		if rest.received.Add(int64(buffer.length)) > maxBodyBytes {
+		n, err := rest.body.Read(buffer.space()[buffer.length:])
+		buffer.length += n
+		if rest.received.Add(int64(n)) > maxBodyBytes {
 			err = errRequestTooLarge
 		}
 		w.c.timed.slicer.checkTime()
