Read on behind a streamed early response, so that its end is not reset away

Cause: serveRequest closed the connection behind a streamed response whose request had not come whole. Bytes of the body were unread, so the close reset the connection and dropped what the client had not taken. Buffered early responses were followed by lingeringClose, streamed ones were not.

Change: streamed ones are too. lingeringClose pauses as all reading of clients does.

Tests: TestEarlyStreamedResponseIsWhole failed 5 of 5 before (116,693 of 307,200 bytes), and passes 10 of 10 with -race.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -170,6 +170,7 @@
 		c.readLimit.N = limit
 		for err := error(nil); err == nil; {
 			_, err = c.reader.Discard(c.reader.Size())
+			c.timed.slicer.checkTime()
 		}
 	}
 }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -373,6 +373,9 @@
 		// Bytes that the watcher has read are the client's next request: the response may be with it already.
 		complete := w.stop()
 		w.reportDelivery(err)
+		if err == nil && !complete {
+			c.lingeringClose(earlyResponseLingerTimeout, maxBodyBytes)
+		}
 		return complete && err == nil && !closing
 	}
 	defer f.memory.free(resp.body)
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -412,6 +412,39 @@
 	<-closed
 }
 
+// TestEarlyStreamedResponseIsWhole guards against cutting off a long response that an upstream sends before it has read the
+// whole body: the connection was closed over bytes of the body, which resets it and drops what the client has not read.
+func TestEarlyStreamedResponseIsWhole(t *testing.T) {
+	t.Parallel()
+	const size = 300 << 10
+	ended := make(chan struct{})
+	upstream := newRawUpstream(t, func(c net.Conn) {
+		if _, err := readRequestHead(c); err == nil {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, numberedBytes(size))
+			io.Copy(io.Discard, c) // until the balancer has taken the response and closes the connection
+			close(ended)
+		}
+	})
+	b := startBalancer(t, upMember("s-00000001", upstream))
+	client := b.dialClient(t)
+	io.WriteString(client, checkinRequest(fmt.Sprintf("X-Request-Id: 1\r\nContent-Length: %d\r\n", maxBodyBytes)))
+	go func() { // writes on while the response comes, and reads it afterwards
+		for body := numberedBytes(bodyBufferSize); ; {
+			if _, err := client.Write(body); err != nil {
+				return
+			}
+		}
+	}()
+	<-ended
+	resp, err := http.ReadResponse(client.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || len(body) != size {
+		t.Errorf("got %d of %d bytes, error %v", len(body), size, err)
+	}
+}
+
 // zeroReader is an endless source of bytes.
 type zeroReader struct{}
 
