Test that requests behind a streamed response go with their client

A kept connection's next request is served now although it came as a streamed response ended, so a client that closes behind such requests must be noticed: TestRequestsOfClosedClientBehindStreamedResponseAreNotSent closes behind one and behind three.

--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -298,6 +298,46 @@
 	}
 }
 
+// TestRequestsOfClosedClientBehindStreamedResponseAreNotSent guards against sending requests whose client has closed its
+// connection behind them, when they came while a streamed response ended.
+func TestRequestsOfClosedClientBehindStreamedResponseAreNotSent(t *testing.T) {
+	for _, behind := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d requests", behind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
+				close(b.connectGate)
+				u := b.addUpstream(func(c net.Conn, _ *http.Request) bool { return writeOK(c, string(numberedBytes(2*maxBufferedBody))) })
+				b.sendList(50, u.member("s-00000001"))
+				client := b.connectClient()
+				writeEmptyCheckin(client, "0")
+				resp, err := http.ReadResponse(bufio.NewReaderSize(client, 16), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := io.CopyN(io.Discard, resp.Body, 2*maxBufferedBody-100); err != nil {
+					t.Fatal(err)
+				}
+				next := ""
+				for id := range behind {
+					next += checkinRequest(fmt.Sprintf("X-Request-Id: %d\r\nContent-Length: 0\r\n", id+1))
+				}
+				written := make(chan struct{})
+				go func() { io.WriteString(client, next); close(written) }()
+				<-written
+				b.front.mu.Lock() // keeps the next request from being served before the close
+				rest, err := io.ReadAll(resp.Body)
+				client.Close()
+				b.front.mu.Unlock()
+				if err != nil || len(rest) != 100 {
+					t.Fatalf("got %d last bytes of the response, error %v, want 100", len(rest), err)
+				}
+				b.expireAndStop()
+				want(t, "requests at the upstream", b.requestsStarted(), 1)
+			})
+		})
+	}
+}
+
 // TestTruncatedResponseIsNotPassedAsComplete guards against ending a truncated response as if it were complete.
 func TestTruncatedResponseIsNotPassedAsComplete(t *testing.T) {
 	t.Parallel()
