Drop the message of an attempt that has ended, as its request may give up the body

Cause: each attempt has a copy of its request's message. One that found no connection kept it until the request ended, and with it up to 64 KiB that the request had returned to the budget when another attempt began to send the rest.

Change: an attempt that is not started, and one whose goroutine has ended, has no message.

--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -48,12 +48,14 @@
 	}
 	if r.closed || responseTimeout <= 0 || !l.usable(u) {
 		a.drop()
+		a.message = nil
 		l.pendingOutcomes = append(l.pendingOutcomes, pendingOutcome{a, garnettide.NotSent})
 		return
 	}
 	var available bool
 	if a.conn, available = l.acquireConn(u, now); !available { // not the upstream's fault
 		a.drop()
+		a.message = nil
 		l.pendingOutcomes = append(l.pendingOutcomes, pendingOutcome{a, garnettide.NotSent})
 		return
 	}
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -172,6 +172,7 @@
 
 func (e attemptFinished) apply(l *loop) {
 	a := e.attempt
+	a.message = nil // the request may go on without its body
 	delete(a.upstream.inFlight, a)
 	if a.awaitsLateResponse {
 		a.upstream.lateResponses--
