--- a/internal/scale/files.go
+++ b/internal/scale/files.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
@@ -31,8 +32,12 @@
 	Zone      string
 	Rank      int
 	MemoryMB  int
+	Sockets   int // limit of descriptors; 0: defaultSockets
 }
 
+// defaultSockets is the limit of descriptors of most balancers.
+const defaultSockets = 1024
+
 // settingsTemplate holds the encoded parts of a configuration that all balancers share: one version of the
 // settings, without zone and rank, and the list of upstreams known at the start.
 type settingsTemplate struct {
@@ -82,8 +87,9 @@
 // that balancers report.
 func (s *settingsTemplate) write(path string, spec BalancerSpec) (hash string, err error) {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, `{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x","limits":{"cores":1,"memory_mb":%d,"sockets":1024},"known":`,
-		spec.Name, spec.Listen, spec.Discovery, uint64(spec.Rank+1)*0x9e3779b97f4a7c15, spec.MemoryMB)
+	fmt.Fprintf(&b, `{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x","limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":`,
+		spec.Name, spec.Listen, spec.Discovery, uint64(spec.Rank+1)*0x9e3779b97f4a7c15, spec.MemoryMB,
+		cmp.Or(spec.Sockets, defaultSockets))
 	b.Write(s.known)
 	fmt.Fprintf(&b, `,"settings":{"az":%q,"rank":%d,`, spec.Zone, spec.Rank)
 	b.Write(s.shared)
--- a/internal/scale/real.go
+++ b/internal/scale/real.go
@@ -31,16 +31,24 @@
 	readyAt  atomic.Int64 // first successful health check since its start, Unix time in ns; 0: none
 }
 
+// balancerCommand returns the command that starts a balancer's program with a configuration file. It creates the
+// program's directory for temporary files.
+func balancerCommand(program, configPath, tempDir string) (*exec.Cmd, error) {
+	if err := os.MkdirAll(tempDir, 0o700); err != nil {
+		return nil, fmt.Errorf("starting a balancer: %w", err)
+	}
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+configPath, "TMPDIR="+tempDir)
+	return cmd, nil
+}
+
 // startRealBalancer starts the process of a balancer.
 func (f *fleet) startRealBalancer(r *realBalancer) error {
-	cmd := exec.Command(r.program)
-	tmp := filepath.Join(f.dir, "tmp-"+r.spec.Name)
-	if err := os.MkdirAll(tmp, 0o700); err != nil {
-		return fmt.Errorf("starting %s: %w", r.spec.Name, err)
+	cmd, err := balancerCommand(r.program, r.path, filepath.Join(f.dir, "tmp-"+r.spec.Name))
+	if err != nil {
+		return err
 	}
-	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+r.path, "TMPDIR="+tmp)
 	r.readyAt.Store(0)
-	var err error
 	r.child, err = f.processes.start(r.spec.Name, cmd)
 	return err
 }
--- a/internal/scale/soak.go
+++ b/internal/scale/soak.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -36,6 +35,11 @@
 	soakOperatorTimeout = time.Second
 )
 
+// soakDimensions are the sizes that the settings of a soak test describe. The last class is that of a version of the
+// settings.
+var soakDimensions = FleetDimensions{Balancers: 1, Classes: len(soakRequestClasses) + 1,
+	MaxDiscoveryInterval: 10 * time.Second}
+
 // SoakResult is the result of one seed.
 type SoakResult struct {
 	Seed     uint64
@@ -207,8 +211,7 @@
 
 // writeConfig writes the current configuration to the configuration file.
 func (s *soak) writeConfig() error {
-	template, err := newSettingsTemplate(FleetDimensions{Balancers: 1, Classes: len(soakRequestClasses) + 1,
-		MaxDiscoveryInterval: 10 * time.Second}, s.settingsVersion, s.list.listing())
+	template, err := newSettingsTemplate(soakDimensions, s.settingsVersion, s.list.listing())
 	if err != nil {
 		return err
 	}
@@ -223,12 +226,11 @@
 	if err != nil {
 		return nil, err
 	}
-	tmp := filepath.Join(s.dir, "tmp")
-	if err := os.MkdirAll(tmp, 0o700); err != nil {
-		return nil, fmt.Errorf("starting a balancer: %w", err)
+	cmd, err := balancerCommand(s.program, s.configPath(), filepath.Join(s.dir, "tmp"))
+	if err != nil {
+		return nil, err
 	}
-	cmd := exec.Command(s.program)
-	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+s.configPath(), "TMPDIR="+tmp, "RELAY_OPERATOR="+operatorAddress)
+	cmd.Env = append(cmd.Env, "RELAY_OPERATOR="+operatorAddress)
 	if s.listener != nil {
 		cmd.ExtraFiles = []*os.File{s.listener}
 		cmd.Env = append(cmd.Env, "RELAY_INHERITED_FD=3")
