Log the collector's work, and count by reason what ends without a response

The memory line now has the live heap, goroutines, collections a second and the collector's share of the processor. It also comes when the collector takes over a fifth, and each 5 s while that lasts.

--- a/internal/proxy/client_response.go
+++ b/internal/proxy/client_response.go
@@ -36,6 +36,11 @@
 	} else if !errors.As(err, &r) && !errors.Is(err, errMalformedHead) && !errors.Is(err, errAmbiguousFraming) {
 		return
 	}
+	if r.status == http.StatusServiceUnavailable {
+		f.traffic.count(requestWithoutMemory, "")
+	} else {
+		f.traffic.count(requestInvalid, "")
+	}
 	if c.writeResponse(clientResponse{status: r.status, body: []byte(r.reason + "\n"),
 		contentType: "text/plain"}, true) != nil {
 		return
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -56,6 +56,7 @@
 	plan           atomic.Pointer[garnettide.Plan] // the plan in force
 	memory         *memoryBudget                   // for buffered bodies; shared with the loop
 	headMemory     *memoryBudget                   // for heads; shared with the loop
+	traffic        *trafficLog                     // shared with the loop
 	post           func(event)                     // sends an event to the loop
 	now            func() time.Duration            // the loop's clock
 	listener       net.Listener
@@ -74,7 +75,7 @@
 }
 
 func newFrontend(c *Config, listener net.Listener, l *loop) *frontend {
-	f := &frontend{memory: &l.memory, headMemory: &l.headMemory, now: l.now, post: l.post, listener: listener,
+	f := &frontend{memory: &l.memory, headMemory: &l.headMemory, traffic: &l.traffic, now: l.now, post: l.post, listener: listener,
 		listenerShared: c.InheritedFD != 0, maxClients: c.maxClientConns(), clients: map[*client]struct{}{}}
 	f.plan.Store(c.Plan)
 	return f
@@ -120,6 +121,9 @@
 		c.Close()
 		f.mu.Lock()
 		delete(f.clients, c)
+		if c.evicted != nil {
+			f.traffic.count(clientEvicted, "")
+		}
 		c.endEviction()
 		f.mu.Unlock()
 	})
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -34,6 +34,9 @@
 			other.writeBefore(now + window)
 		}
 	}
+	if len(r.attempts) > 0 {
+		l.traffic.count(attemptRetried, r.clientRequestID)
+	}
 	r.attempts, r.inFlight = append(r.attempts, a), r.inFlight+1
 	if r.message.rest != nil {
 		a.uploadDone = make(chan struct{})
@@ -54,6 +57,7 @@
 	}
 	var available bool
 	if a.conn, available = l.acquireConn(u, now); !available { // not the upstream's fault
+		l.traffic.count(attemptNotConnected, r.clientRequestID)
 		a.drop()
 		a.message = nil
 		l.pendingOutcomes = append(l.pendingOutcomes, pendingOutcome{a, garnettide.NotSent})
@@ -71,6 +75,7 @@
 		if !l.settings.Limits.RetryAfter {
 			retryAfter = 0
 		}
+		l.traffic.count(requestShed, r.clientRequestID)
 		l.respond(r, clientResponse{status: http.StatusServiceUnavailable,
 			retryAfter: min(retryAfter, l.settings.Limits.MaxRetryAfter)})
 	}
@@ -79,6 +84,7 @@
 // Fail responds with 502, or with 504 after the deadline: the request may have been executed.
 func (l *loop) Fail(id garnettide.RequestID) {
 	if r := l.requests[id]; r != nil {
+		l.traffic.count(requestFailed, r.clientRequestID)
 		status := http.StatusBadGateway
 		if !r.bodyPending && l.now() >= r.deadline {
 			status = http.StatusGatewayTimeout
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -29,6 +29,7 @@
 	memory              memoryBudget // for buffered bodies
 	headMemory          memoryBudget
 	memoryLog           memoryLog
+	traffic             trafficLog
 	settings            garnettide.Settings
 	upstreamIdleTimeout time.Duration
 	maxConns            int                   // limit of connCount
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -215,28 +215,41 @@
 	h.memoryLog.limit = 100 << 20
 	h.headMemory.reserve(3 << 10)
 	h.memory.reserve(5 << 10)
+	now, collections, collectorCPU := time.Duration(0), uint64(0), 0.0
+	const rest = "live 1024 KiB, stacks 1024 KiB of 7 goroutines, 10 collections a second, "
+	const budgets = " of the processor, heads 3 KiB, bodies 5 KiB, 0 requests, 0 connections to upstreams"
 	for _, tt := range []struct {
-		inUseMB uint64
-		line    string // empty: none
+		after          time.Duration // the reading before
+		inUseMB        uint64
+		collectorShare float64
+		line           string // empty: none
 	}{
-		{74, ""},
-		{76, "memory is near the limit: 77824 of 102400 KiB in use, heap objects 2048 KiB, stacks 1024 KiB, " +
-			"heads 3 KiB, bodies 5 KiB, 0 requests, 0 connections to upstreams"},
-		{90, ""},
-		{66, ""},
-		{64, "memory is no longer near the limit: 65536 of 102400 KiB in use, heap objects 2048 KiB, stacks 1024 KiB, " +
-			"heads 3 KiB, bodies 5 KiB, 0 requests, 0 connections to upstreams"},
-		{74, ""},
+		{time.Second, 74, 0.02, ""},
+		{time.Second, 76, 0.02, "memory is near the limit: 77824 of 102400 KiB in use, heap objects 2048 KiB, " + rest + "2%" + budgets},
+		{time.Second, 90, 0.02, ""},
+		{3 * time.Second, 90, 0.02, ""},
+		{time.Second, 91, 0.02, "memory is near the limit: 93184 of 102400 KiB in use, heap objects 2048 KiB, " + rest + "2%" + budgets},
+		{time.Second, 66, 0.02, ""},
+		{time.Second, 64, 0.02, "memory is no longer near the limit: 65536 of 102400 KiB in use, heap objects 2048 KiB, " + rest + "2%" + budgets},
+		{10 * time.Second, 74, 0.19, ""},
+		{time.Second, 40, 0.5, "the collector is busy: 40960 of 102400 KiB in use, heap objects 2048 KiB, " + rest + "50%" + budgets},
+		{time.Second, 40, 0.11, ""},
+		{time.Second, 40, 0.02, "memory is no longer near the limit: 40960 of 102400 KiB in use, heap objects 2048 KiB, " + rest + "2%" + budgets},
 	} {
-		h.logMemory(memoryUsage{inUse: tt.inUseMB << 20, objects: 2 << 20, stacks: 1 << 20})
+		now += tt.after
+		usage := memoryUsage{inUse: tt.inUseMB << 20, live: 1 << 20, objects: 2 << 20, stacks: 1 << 20, goroutines: 7}
+		collections, collectorCPU = collections+10*uint64(tt.after/time.Second), collectorCPU+tt.collectorShare*tt.after.Seconds()
+		usage.collections, usage.collectorCPU = collections, collectorCPU
+		h.logMemory(now, usage)
 		line := ""
 		select {
 		case line = <-h.logLines:
 		default:
 		}
-		want(t, fmt.Sprintf("line at %d MiB", tt.inUseMB), line, tt.line)
+		want(t, fmt.Sprintf("line at %v, %d MiB", now, tt.inUseMB), line, tt.line)
 	}
-	if usage := readMemoryUsage(); usage.objects == 0 || usage.stacks == 0 || usage.inUse < usage.objects+usage.stacks {
+	if usage := readMemoryUsage(); usage.objects == 0 || usage.stacks == 0 || usage.inUse < usage.objects+usage.stacks ||
+		usage.goroutines == 0 {
 		t.Errorf("got %+v, want all of it, and the parts within the whole", usage)
 	}
 }
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -116,6 +116,7 @@
 
 func (e clientLeft) apply(l *loop) {
 	r := e.request
+	l.traffic.count(clientClosed, r.clientRequestID)
 	if !r.closed {
 		l.closeRequest(r)
 		l.balancer.ClientGone(l.now(), r.ID)
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -61,7 +61,10 @@
 	if now := l.now(); now >= l.nextIdleSweep {
 		l.nextIdleSweep = now + idleSweepInterval
 		l.closeExpiredIdle(now)
-		l.logMemory(readMemoryUsage())
+		l.logMemory(now, readMemoryUsage())
+		if line := l.traffic.line(now); line != "" {
+			l.Log(line)
+		}
 	}
 }
 
