Size connections and buffers so that the collector always has room for garbage

Callers saw: beside a crowd of slow clients small requests were answered up to 3.2 s after they were sent, with a deadline of 0.75 s; a process with stopped uploads was at 34,340 KiB of 32,768.

Cause: the collector's soft limit was 60% of the memory, whatever the connections and budgets added up to. At 32 MB with 1,024 descriptors these take some 24 MB by the runtime's count, the limit was 19.7: no collection could reach its goal, so each was followed by the next, 60 to 90 a second, and marking and assists took 55% of the processor. At 48 and 64 MB the same came with full buffers. Class of bug: limits that hold one by one and not together.

Two processes that share the limits go by the same function.

--- a/cmd/olivearch/main.go
+++ b/cmd/olivearch/main.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"garnettide"
 	"garnettide/internal/proxy"
 )
 
@@ -34,19 +35,12 @@
 	if err != nil {
 		return err
 	}
-	// The load balancer runs on one core. A higher GC target saves CPU time; a soft limit of 60 % of the
-	// configured memory bounds the heap growth that it allows.
+	// The load balancer runs on one core. A higher GC target saves CPU time; a soft limit bounds the heap growth that it
+	// allows.
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(400)
-	memoryLimit := int64(config.MemoryMB) << 20 * 6 / 10
-	debug.SetMemoryLimit(memoryLimit)
-	config.OnOverlap = func(on bool) { // the old and the new process share the memory limit
-		if on {
-			debug.SetMemoryLimit(memoryLimit / 2)
-		} else {
-			debug.SetMemoryLimit(memoryLimit)
-		}
-	}
+	debug.SetMemoryLimit(config.Capacity(1).CollectorTarget)
+	config.OnCapacity = func(c garnettide.Capacity) { debug.SetMemoryLimit(c.CollectorTarget) }
 	name := config.Name // copied, so that config and its plan can be freed
 	slog.Info("starting", "name", name, "listen", config.Listen, "known", len(config.CachedList.Members),
 		"configuration", config.Hash)
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -38,9 +38,9 @@
 	// OnConfigApplied, if set, is called on the loop when a reloaded configuration is in force, with its hash
 	// and the time since its signal.
 	OnConfigApplied func(hash string, took time.Duration)
-	// OnOverlap, if set, is called when another process of this balancer starts or stops running beside this
-	// one.
-	OnOverlap func(on bool)
+	// OnCapacity, if set, is called when another process of this balancer starts or stops running beside this
+	// one, with what this one may use then.
+	OnCapacity func(garnettide.Capacity)
 	// OnListApplied, if set, is called on the loop after each list from discovery, with its revision. It must
 	// not block.
 	OnListApplied func(revision uint64)
@@ -194,13 +194,10 @@
 	return nil
 }
 
-// Sockets are divided as follows: a third for upstreams, which is enough because clients use at most a
-// third for requests; a reserve for the listener, discovery and sockets being closed; some for the admin
-// listener; and the rest for clients, which have more connections than requests.
-
-func (c *Config) maxUpstreamConns() int { return c.Sockets / 3 }
-func (c *Config) maxClientConns() int {
-	return c.Sockets - c.maxUpstreamConns() - max(c.Sockets/16, 16) - c.adminSockets()
+// Capacity returns what one of several processes that share the limits may use.
+func (c *Config) Capacity(processes int) garnettide.Capacity {
+	return garnettide.ProcessLimits{Memory: int64(c.MemoryMB) << 20, Sockets: c.Sockets, AdminSockets: c.adminSockets(),
+		Processes: processes}.Capacity()
 }
 
 // adminSockets returns the number of sockets for the admin listener and its connections.
@@ -210,33 +207,3 @@
 	}
 	return 1 + maxAdminConns
 }
-
-// Memory that no budget counts, in bytes: that of an idle process, and for each connection its objects, its read buffer,
-// small buffers and the stacks of its goroutines.
-const (
-	processMemory      = 4 << 20
-	clientConnMemory   = 12 << 10
-	upstreamConnMemory = 28 << 10 // with the request on it
-)
-
-// memoryBudgets returns how many bytes the buffers of bodies, and those of heads over uncountedHeadBytes, may take in
-// one of several processes that share the limits. They take three eighths of the memory, the rest being for the
-// program, its connections and garbage; less if there are many connections for the memory.
-func (c *Config) memoryBudgets(processes int) (bodies, heads int64) {
-	memory := int64(c.MemoryMB) << 20 / int64(processes)
-	conns := int64(c.maxClientConns()*clientConnMemory+c.maxUpstreamConns()*upstreamConnMemory) / int64(processes)
-	buffers := max(memory/16, min(memory*3/8, memory*3/4-processMemory-conns))
-	return buffers * 2 / 3, buffers / 3
-}
-
-// bodyMemoryLimit returns how many bytes of bodies a single process may buffer at once.
-func (c *Config) bodyMemoryLimit() int64 {
-	bodies, _ := c.memoryBudgets(1)
-	return bodies
-}
-
-// headMemoryLimit returns how many bytes the buffers of heads may take at once in a single process.
-func (c *Config) headMemoryLimit() int64 {
-	_, heads := c.memoryBudgets(1)
-	return heads
-}
--- a/internal/proxy/discovery_test.go
+++ b/internal/proxy/discovery_test.go
@@ -159,7 +159,7 @@
 	if runtime.ReadMemStats(&m); m.HeapAlloc > 16<<20 {
 		t.Errorf("got %d MB of live heap, want at most 16", m.HeapAlloc>>20)
 	}
-	want(t, "connection limits fit the descriptors", b.config.maxUpstreamConns()+b.config.maxClientConns() < 256, true)
+	want(t, "connection limits fit the descriptors", b.config.Capacity(1).UpstreamConns+b.config.Capacity(1).ClientConns < 256, true)
 }
 
 // TestLongResponseHeadFailsCall guards against a response of discovery that takes the balancer over its memory limit with
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -76,7 +76,7 @@
 
 func newFrontend(c *Config, listener net.Listener, l *loop) *frontend {
 	f := &frontend{memory: &l.memory, headMemory: &l.headMemory, traffic: &l.traffic, now: l.now, post: l.post, listener: listener,
-		listenerShared: c.InheritedFD != 0, maxClients: c.maxClientConns(), clients: map[*client]struct{}{}}
+		listenerShared: c.InheritedFD != 0, maxClients: c.Capacity(1).ClientConns, clients: map[*client]struct{}{}}
 	f.plan.Store(c.Plan)
 	return f
 }
--- a/internal/proxy/head_test.go
+++ b/internal/proxy/head_test.go
@@ -41,13 +41,13 @@
 		request      func(i int) string
 		responseHead string // of upstreams; empty: no upstream is listed, and requests wait
 	}{
-		"unfinished requests": {limits.maxClientConns(),
+		"unfinished requests": {limits.Capacity(1).ClientConns,
 			func(i int) string { return withoutEnd(request(i, shortLines())) }, ""},
-		"unfinished trailers": {limits.maxClientConns(),
+		"unfinished trailers": {limits.Capacity(1).ClientConns,
 			func(i int) string { return request(i, "Transfer-Encoding: chunked\r\n") + "0\r\n" + shortLines() }, ""},
-		"requests that wait": {limits.maxUpstreamConns(),
+		"requests that wait": {limits.Capacity(1).UpstreamConns,
 			func(i int) string { return request(i, "Content-Length: 0\r\n"+shortLines()) }, ""},
-		"unfinished responses": {limits.maxUpstreamConns(),
+		"unfinished responses": {limits.Capacity(1).UpstreamConns,
 			func(i int) string { return request(i, "Content-Length: 0\r\n") },
 			withoutEnd("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + shortLines() + "\r\n")},
 	} {
@@ -86,7 +86,7 @@
 					c.Close()
 				}
 				b.expireAndStop()
-				want(t, "free memory for heads at the end", b.headMemory.available.Load(), limits.headMemoryLimit())
+				want(t, "free memory for heads at the end", b.headMemory.available.Load(), limits.Capacity(1).HeadBytes)
 			})
 		})
 	}
@@ -143,7 +143,7 @@
 	sendRaw(t, b.url, "GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"+padding+"\r\n")
 	clients.Wait()
 	b.waitUntil(t, "the memory is released", func() bool {
-		return b.loop.headMemory.available.Load() == b.config.headMemoryLimit()
+		return b.loop.headMemory.available.Load() == b.config.Capacity(1).HeadBytes
 	})
 }
 
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -52,20 +52,21 @@
 }
 
 func newLoop(ctx context.Context, c *Config) *loop {
+	capacity := c.Capacity(1)
 	l := &loop{ctx: ctx, events: make(chan event, 1024), listUpdates: make(chan listUpdate, 4),
 		adminCalls: make(chan adminLoopCall, maxAdminConns), logLines: make(chan string, loopLogQueueSize),
 		startTime:           time.Now(),
 		transport:           upstreamTransport{open: net.DialTimeout, timeout: c.ConnTimeouts.ConnectTimeout},
 		settings:            c.Plan.Settings(),
-		upstreamIdleTimeout: upstreamIdleTimeout(c.ConnTimeouts), maxConns: c.maxUpstreamConns(),
+		upstreamIdleTimeout: upstreamIdleTimeout(c.ConnTimeouts), maxConns: capacity.UpstreamConns,
 		upstreamIDs: newUpstreamIDs(), requests: map[garnettide.RequestID]*request{}, openIDs: map[string]bool{}, requestIDs: &requestIDTable{},
 		upstreams: map[garnettide.UpstreamID]*upstream{}, inMaintenance: map[string]garnettide.UpstreamID{},
 		recentIDs: newRecentIDs(), onListApplied: c.OnListApplied}
 	// The clock starts at Unix time, so that discovery's timestamps can be compared with it, and advances with
 	// the monotonic clock, so that it is not affected when the system clock is set.
 	l.clockBase = time.Duration(l.startTime.UnixNano())
-	l.memory.setLimit(c.bodyMemoryLimit())
-	l.headMemory.setLimit(c.headMemoryLimit())
+	l.memory.setLimit(capacity.BodyBytes)
+	l.headMemory.setLimit(capacity.HeadBytes)
 	l.memoryLog.limit = uint64(c.MemoryMB) << 20
 	l.transport.now, l.transport.memory, l.transport.headMemory = l.now, &l.memory, &l.headMemory
 	l.transport.onStreamStart = func(a *attempt, r *responseStream, load garnettide.Load) {
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -66,7 +66,7 @@
 	})
 	close(b.connectGate)
 	var members []member
-	for i := range limits.maxUpstreamConns() {
+	for i := range limits.Capacity(1).UpstreamConns {
 		u := b.addUpstream(nil)
 		u.serve = serve
 		members = append(members, u.member(fmt.Sprintf("s-%08x", i+1)))
@@ -117,8 +117,8 @@
 		padding := "X-Pad: " + strings.Repeat("p", maxHeadBytes-400) + "\r\n"
 		body := strings.Repeat("b", maxBufferedBody)
 		var conns []*memConn
-		for b.upstreamConns() < limits.maxUpstreamConns() { // those of requests whose deadline is over
-			for range limits.maxUpstreamConns() {
+		for b.upstreamConns() < limits.Capacity(1).UpstreamConns { // those of requests whose deadline is over
+			for range limits.Capacity(1).UpstreamConns {
 				c := b.connectClient()
 				conns = append(conns, c)
 				go discardInput(c)
@@ -190,7 +190,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				b := newLimitedBalancer(t, limits, crowd.serve)
 				var conns []*memConn
-				for len(conns) < limits.maxClientConns() {
+				for len(conns) < limits.Capacity(1).ClientConns {
 					c := b.connectClient()
 					conns = append(conns, c)
 					go crowd.request(c, strconv.Itoa(len(conns)))
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -260,17 +260,17 @@
 		processes = overlapProcesses
 	}
 	slog.Info("descriptor and memory limits divided between processes", "processes", processes)
-	s.front.setConnLimit(c.maxClientConns() / processes)
-	bodies, heads := c.memoryBudgets(processes)
-	s.loop.memory.setLimit(bodies)
-	s.loop.headMemory.setLimit(heads)
+	capacity := c.Capacity(processes)
+	s.front.setConnLimit(capacity.ClientConns)
+	s.loop.memory.setLimit(capacity.BodyBytes)
+	s.loop.headMemory.setLimit(capacity.HeadBytes)
 	if err := s.runOnLoop(ctx, func(l *loop) {
-		l.setConnLimit(c.maxUpstreamConns() / processes)
+		l.setConnLimit(capacity.UpstreamConns)
 	}); err != nil && ctx.Err() == nil {
 		slog.Error("dividing the descriptor limit failed", "err", err)
 	}
-	if c.OnOverlap != nil {
-		c.OnOverlap(on)
+	if c.OnCapacity != nil {
+		c.OnCapacity(capacity)
 	}
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -326,7 +326,7 @@
 		front.startClient(accepted)
 		front.clientsDone.Wait()
 		want(t, "events posted to the loop", len(h.events), 0)
-		want(t, "free body memory", h.memory.available.Load(), c.bodyMemoryLimit())
+		want(t, "free body memory", h.memory.available.Load(), c.Capacity(1).BodyBytes)
 	})
 	t.Run("before the loop handles the disconnect", func(t *testing.T) {
 		upstream := newTestUpstream(t, respondOK)
@@ -793,7 +793,7 @@
 	}()
 	<-upstream.received
 	var silent []net.Conn
-	for range b.config.maxClientConns() + 50 {
+	for range b.config.Capacity(1).ClientConns + 50 {
 		c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -426,7 +426,7 @@
 		})
 	})
 	want(t, "requests at the upstream", len(upstream.received), 0)
-	want(t, "free body memory", b.loop.memory.available.Load(), b.config.bodyMemoryLimit())
+	want(t, "free body memory", b.loop.memory.available.Load(), b.config.Capacity(1).BodyBytes)
 }
 
 // TestEarlyResponse guards against losing a response that an upstream sends before it has received the whole body, and
@@ -582,7 +582,7 @@
 			t.Fatal(err)
 		}
 		request = request[n:]
-		for i := range b.config.maxClientConns() / 4 { // idle after a request, incomplete request, silent
+		for i := range b.config.Capacity(1).ClientConns / 4 { // idle after a request, incomplete request, silent
 			c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
 			if err != nil {
 				t.Fatal(err)
