Read heads of very many short fields in a quarter of the time

In the profile, half of it was isToken: it built a set of characters for each field. A head of 4,000 fields took 1.08 ms, in which nothing else of the process runs.

A table in place of the set, no copy for the canonical name and no closure for each byte: 0.23 ms (BenchmarkHeadOfShortFields). TestCanonicaliseAsTextproto holds the names to those of net/textproto.

--- a/internal/proxy/head.go
+++ b/internal/proxy/head.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"iter"
 	"net/http"
-	"net/textproto"
 	"slices"
 )
 
@@ -147,7 +146,7 @@
 	if !hasColon || !isToken(name) || !isFieldValue(value) {
 		return malformedLine(line)
 	}
-	copy(name, textproto.CanonicalMIMEHeaderKey(string(name)))
+	canonicalise(name)
 	h.text = append(h.text, '\n')
 	return nil
 }
@@ -168,16 +167,49 @@
 	return fmt.Errorf("%w: field line %q", errMalformedHead, line[:min(len(line), maxQuotedBytes)])
 }
 
+// tokenChars tells for each byte whether tokens may hold it.
+var tokenChars = func() (is [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz") {
+		is[c] = true
+	}
+	return is
+}()
+
 // isToken reports whether text is a token as defined by RFC 9110, section 5.6.2. Names of fields are tokens: no space
 // may stand before the colon.
 func isToken(text []byte) bool {
-	const tokenChars = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
-	return len(text) > 0 && len(bytes.Trim(text, tokenChars)) == 0
+	for _, c := range text {
+		if !tokenChars[c] {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
+// canonicalise changes the name of a field, a token, to its canonical form in place, as textproto.CanonicalMIMEHeaderKey
+// does with a copy.
+func canonicalise(name []byte) {
+	const toLower = 'a' - 'A'
+	upper := true
+	for i, c := range name {
+		switch {
+		case upper && 'a' <= c && c <= 'z':
+			name[i] = c - toLower
+		case !upper && 'A' <= c && c <= 'Z':
+			name[i] = c + toLower
+		}
+		upper = c == '-'
+	}
 }
 
 // isFieldValue reports whether text holds no control characters but tabs.
 func isFieldValue(text []byte) bool {
-	return !slices.ContainsFunc(text, func(c byte) bool { return c < ' ' && c != '\t' || c == 0x7f })
+	for _, c := range text {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
 }
 
 // startLine returns the start line.
--- a/internal/proxy/head_test.go
+++ b/internal/proxy/head_test.go
@@ -218,3 +218,30 @@
 	want(t, "repeated once removed", h.repeated([]string{"X-Second", "X-First"}), "")
 	want(t, "last field", h.get("X-Firstly"), "4")
 }
+
+// TestCanonicaliseAsTextproto guards against names of fields in another form than that in which they are looked up.
+func TestCanonicaliseAsTextproto(t *testing.T) {
+	for _, name := range []string{"x-request-id", "X-REQUEST-ID", "content-Length", "a", "-", "a--b", "x_y-z", "9a-9a", "~a-!b",
+		"host", "HOST", "x-é"} {
+		got := []byte(name)
+		if canonicalise(got); isToken(got) && string(got) != textproto.CanonicalMIMEHeaderKey(name) {
+			t.Errorf("%q: got %q, want %q", name, got, textproto.CanonicalMIMEHeaderKey(name))
+		}
+	}
+}
+
+// BenchmarkHeadOfShortFields measures the reading of a head of as many fields as fit.
+func BenchmarkHeadOfShortFields(b *testing.B) {
+	text := "GET /c HTTP/1.1\r\n" + strings.Repeat("a:\r\n", (maxHeadBytes-20)/4) + "\r\n"
+	for b.Loop() {
+		h := head{}
+		reader := bufio.NewReaderSize(strings.NewReader(text), clientReadBuffer)
+		if _, err := h.readLine(reader); err != nil {
+			b.Fatal(err)
+		}
+		h.fieldsAt = len(h.text)
+		if err := h.readFields(reader); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
