Judge the crowd test by its own delays, and take closes that crossed a request for what they are

With -race and five crowds at once the test's own process was held up for up to 0.7 s, and the test found lost requests where there were none: an end of the connection 10 us behind the write, on connections that had sent nothing for over 50 ms when the balancer closed them. A trace by id: the client had dialled, was held up, wrote, and found the end already there.

Late responses are judged with the longest delay of the test's process on top, the share of served requests only within 50 ms of delay, as in the soak. Two crowds run at a time.

--- a/internal/scale/crowd_run.go
+++ b/internal/scale/crowd_run.go
@@ -62,9 +62,10 @@
 	balancer  *child
 	discovery *discoveryServer
 
-	mu     sync.Mutex // guards the fields below
-	result CrowdResult
-	serial uint64
+	mu       sync.Mutex // guards the fields below
+	result   CrowdResult
+	requests []*ordinaryRequest
+	serial   uint64
 }
 
 // RunCrowd runs a case against the balancer's program at the given path, with files in dir.
@@ -104,9 +105,7 @@
 	stop()
 	running.Wait()
 	r.result.MaxDelay = maxDelay
-	if served := r.result.Statuses[http.StatusOK]; float64(served) < crowdMinServedShare*float64(r.result.Requests) {
-		r.fault("starved", "", "%d of %d ordinary requests served", served, r.result.Requests)
-	}
+	r.checkOrdinary()
 }
 
 // newRequestID returns a new request ID.
--- a/internal/scale/crowd_test.go
+++ b/internal/scale/crowd_test.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// maxCrowds is how many crowds run at the same time.
+const maxCrowds = 2
+
 // crowdCases returns a crowd of each behaviour before a balancer with the least memory of any deployment and many
 // descriptors for it, and crowds of all behaviours before balancers with more memory or fewer descriptors.
 func crowdCases() []CrowdCase {
@@ -34,9 +37,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	slots := make(chan struct{}, maxCrowds)
 	for _, c := range crowdCases() {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
 			result, err := RunCrowd(program, c, t.TempDir())
 			if err != nil {
 				t.Fatal(err)
