Keep a quarter of the connections to upstreams for exchanges that end soon

Callers saw: in a crowd of slow uploads or slow readers under half of all small requests were served, 503 for the rest.

Cause: all connections to upstreams were with the crowd, for a minute each. A request without a connection used up its attempts at once, at one upstream after another (34,801 attempts without a connection in 5 s), and was refused. The decision module knew nothing of the limit that binds. Class of bug: a shared resource without a share for those who need it for a moment.

Change: connections.go of the module counts attempts in flight against the limit (SetConnLimit). With no connection left a request waits its turn like any other. Bodies that arrive bit by bit and long responses that are passed on hold three quarters at most: one more upload is refused at once, one more long response is refused if its request may be repeated, and fails otherwise. What has begun to pass is not cut.

--- a/api.go
+++ b/api.go
@@ -268,8 +268,9 @@
 	Request(now time.Duration, r Request)
 	// BodyComplete notes that the body of a streaming request has arrived.
 	BodyComplete(now time.Duration, id RequestID)
-	// ResponseStarted notes that a streamed answer has begun; the attempt's Outcome follows when it ends.
-	ResponseStarted(now time.Duration, o Outcome)
+	// ResponseStarted notes that a streamed answer has begun; the attempt's Outcome follows when it ends. long
+	// tells that the answer may last. If it is not admitted, the request gets another final answer.
+	ResponseStarted(now time.Duration, o Outcome, long bool) (admitted bool)
 	// Outcome takes the result of an attempt.
 	Outcome(now time.Duration, o Outcome)
 	// ClientGone drops a request whose client has disconnected; no answer is needed.
@@ -278,6 +279,8 @@
 	Probed(now time.Duration, p ProbeResult)
 	// Timer takes the expiry of a timer set by Host.SetTimer.
 	Timer(now time.Duration, token uint64)
+	// SetConnLimit limits the number of attempts in flight; 0 sets no limit.
+	SetConnLimit(now time.Duration, limit int)
 	// SetMaintenance takes an upstream out of service for maintenance, or back in service.
 	SetMaintenance(now time.Duration, id UpstreamID, out bool)
 	// Reconfigure applies a plan; diff is its difference from the current one.
--- a/balancer.go
+++ b/balancer.go
@@ -130,6 +130,7 @@
 		}
 	}
 	a := &attempt{req: req, up: u, sentAt: now}
+	b.conns.begin(a)
 	req.attempts, req.attemptsInFlight, req.queued = append(req.attempts, a), req.attemptsInFlight+1, false
 	u.inFlight, u.periodWork, u.coldLevel =
 		append(u.inFlight, a), u.periodWork+req.workUnits, u.coldLevel+max(1, req.workUnits)
@@ -168,16 +169,24 @@
 	}
 }
 
-// ResponseStarted notes that a streamed answer has begun, which is the final answer of its request. The
-// statistics of the upstream are updated now and not at the end of the attempt.
-func (b *Balancer) ResponseStarted(now time.Duration, o Outcome) {
-	if r := b.requests[o.ID]; r != nil && !r.done && o.Attempt >= 0 && o.Attempt < len(r.attempts) {
-		a := r.attempts[o.Attempt]
-		b.recordOutcome(a, o.sanitised(), now)
-		a.responseStarted = true
-		b.finish(r)
-		b.dispatch(now)
+// ResponseStarted notes that a streamed answer has begun. It is the final answer of its request if it is
+// admitted. The statistics of the upstream are updated now and not at the end of the attempt.
+func (b *Balancer) ResponseStarted(now time.Duration, o Outcome, long bool) (admitted bool) {
+	r := b.requests[o.ID]
+	if r == nil || r.done || o.Attempt < 0 || o.Attempt >= len(r.attempts) {
+		return false
 	}
+	a := r.attempts[o.Attempt]
+	b.recordOutcome(a, o.sanitised(), now)
+	a.responseStarted = true
+	if admitted = !long || a.transfer || !b.conns.transfersFull(); !admitted {
+		b.log(now, "transfers", "%d transfers in progress: refusing a long response", b.conns.transfers)
+		b.endUnserved(r, now)
+	} else if b.finish(r); long {
+		b.conns.markTransfer(a)
+	}
+	b.dispatch(now)
+	return admitted
 }
 
 // Outcome takes the result of an attempt.
@@ -188,6 +197,7 @@
 	}
 	a := r.attempts[o.Attempt]
 	a.ended, a.neverRan = true, o.Status.NeverRan()
+	b.conns.end(a)
 	r.attemptsInFlight, r.bodyConsumed = r.attemptsInFlight-1, r.bodyConsumed || o.BodyConsumed
 	a.up.inFlight = slices.DeleteFunc(a.up.inFlight, func(x *attempt) bool { return x == a })
 	for _, x := range a.up.inFlight {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -543,7 +543,7 @@
 		b.Timer(now, tickToken)
 	}
 	b.ClientGone(time.Hour+time.Second, 77)
-	b.ResponseStarted(time.Hour+time.Second, Outcome{ID: 77})
+	b.ResponseStarted(time.Hour+time.Second, Outcome{ID: 77}, true)
 	b.BodyComplete(time.Hour+time.Second, 77)
 	b.Outcome(time.Hour+time.Second, Outcome{ID: 4, Attempt: -1})
 	if h.count("refuse id=4") != 1 || h.count("send") != 0 {
--- a/choice.go
+++ b/choice.go
@@ -43,6 +43,7 @@
 // subset, eligible or not.
 func (b *Balancer) pick(r *request, now time.Duration) (best *upstream, permitted bool) {
 	var totalWeight float64
+	connAvailable := !b.conns.full() && !b.isExcessTransfer(r)
 	for _, u := range b.inUse {
 		if !u.inSubset {
 			continue
@@ -50,7 +51,7 @@
 		totalWeight += b.effectiveWeight(u, now)
 		allowed := b.maySend(r, u, now)
 		permitted = permitted || allowed
-		if allowed && (best == nil || u.nextTurn < best.nextTurn) && b.eligible(u, r, now) {
+		if allowed && connAvailable && (best == nil || u.nextTurn < best.nextTurn) && b.eligible(u, r, now) {
 			best = u
 		}
 	}
--- a/cmd/clayladder-sim/main.go
+++ b/cmd/clayladder-sim/main.go
@@ -74,7 +74,7 @@
 	case wire.EventRequest:
 		b.Request(now, event.Request)
 	case wire.EventResponseStarted:
-		b.ResponseStarted(now, event.Outcome)
+		b.ResponseStarted(now, event.Outcome, false)
 	case wire.EventOutcome:
 		b.Outcome(now, event.Outcome)
 	case wire.EventClientGone:
--- a/internal/proxy/conn_pool.go
+++ b/internal/proxy/conn_pool.go
@@ -77,6 +77,7 @@
 // setConnLimit sets the limit of connections to upstreams, and closes idle ones above it.
 func (l *loop) setConnLimit(limit int) {
 	l.maxConns = limit
+	l.balancer.SetConnLimit(l.now(), limit)
 	for l.connCount > limit && l.closeLongestIdle() {
 	}
 }
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -94,6 +94,7 @@
 // start creates the Balancer and passes it the cached list. offline lists the upstreams in maintenance.
 func (l *loop) start(c *Config, offline []string) {
 	l.balancer = garnettide.NewWithPlan(c.Plan, c.Seed, l.now(), l)
+	l.balancer.SetConnLimit(l.now(), l.maxConns)
 	l.applyMaintenance(offline)
 	l.applyList(garnettide.ListCached, c.CachedList)
 	if !l.settings.PollDiscovery { // with PollDiscovery the Balancer requests lists itself
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -146,12 +146,16 @@
 		e.responseStream.done <- errResponseUnwanted
 		return
 	}
+	now := l.now()
+	admitted := l.balancer.ResponseStarted(now, garnettide.Outcome{ID: r.ID, Upstream: a.upstream.id, Attempt: a.index,
+		Latency: now - a.sentAt, Status: garnettide.OK, RequestDone: true, Load: e.load}, e.isLong())
+	if !admitted {
+		e.responseStream.done <- errResponseUnwanted
+		return
+	}
 	a.streamStarted = true
 	l.respond(r, clientResponse{status: http.StatusOK, contentType: e.contentType,
 		responseStream: e.responseStream})
-	now := l.now()
-	l.balancer.ResponseStarted(now, garnettide.Outcome{ID: r.ID, Upstream: a.upstream.id, Attempt: a.index,
-		Latency: now - a.sentAt, Status: garnettide.OK, RequestDone: true, Load: e.load})
 }
 
 // uploadStarted reports that an attempt has begun to send the rest of its request's body, so that no other attempt can
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -165,6 +165,9 @@
 	done     chan error
 }
 
+// isLong reports whether the response may be longer than what is buffered of a response.
+func (r *responseStream) isLong() bool { return r.length < 0 || r.length > maxBufferedBody }
+
 // freeBuffered returns the memory of the start of the body.
 func (r *responseStream) freeBuffered() {
 	r.memory.free(r.buffered)
--- a/queue.go
+++ b/queue.go
@@ -14,6 +14,9 @@
 	switch u, permitted := b.pick(r, now); {
 	case u != nil:
 		b.send(r, u, now)
+	case b.isExcessTransfer(r):
+		b.log(now, "transfers", "%d transfers in progress: refusing a streamed request", b.conns.transfers)
+		b.endUnserved(r, now)
 	case (permitted || len(r.attempts) == 0) && now < r.sendBy && !b.allInMaintenance():
 		r.queued, b.lastQueuedAt = true, now
 		index, _ := slices.BinarySearchFunc(b.queued, r.worth, func(x *request, worth float64) int {
@@ -31,7 +34,9 @@
 func (b *Balancer) dispatch(now time.Duration) {
 	kept, blocked, allInMaintenance := b.queued[:0], false, b.allInMaintenance()
 	for _, r := range b.queued {
-		if !r.done && (allInMaintenance || now >= r.sendBy) {
+		if !r.done && b.isExcessTransfer(r) {
+			b.endUnserved(r, now)
+		} else if !r.done && (allInMaintenance || now >= r.sendBy) {
 			b.log(now, "shed", "%d requests queued, no upstream free in time: shedding requests", len(b.queued))
 			b.endUnserved(r, now)
 		} else if !r.done && !blocked {
--- a/requests_test.go
+++ b/requests_test.go
@@ -572,8 +572,10 @@
 	now := time.Hour + 40*ms
 	b.Request(time.Hour, Request{ID: 1, Class: "read", Budget: time.Second})
 	u := b.byID[1]
-	b.ResponseStarted(now, Outcome{ID: 1, Upstream: 1, Latency: 40 * ms, Status: OK, RequestDone: true,
-		Load: Load{Fields: HasUtil, Util: 0.5}})
+	if !b.ResponseStarted(now, Outcome{ID: 1, Upstream: 1, Latency: 40 * ms, Status: OK, RequestDone: true,
+		Load: Load{Fields: HasUtil, Util: 0.5}}, true) {
+		t.Error("response started: got it refused, want it admitted")
+	}
 	if u.activeAttempts() != 0 || u.readings != 1 || time.Duration(u.latency) != 40*ms {
 		t.Errorf("response started: got %d slots occupied, %d readings, latency %v; want 0, 1, 40ms",
 			u.activeAttempts(), u.readings, time.Duration(u.latency))
--- a/state.go
+++ b/state.go
@@ -88,6 +88,7 @@
 	overtakes       int  // later attempts at the upstream that were answered first
 	lost            bool // no answer is expected any more
 	responseStarted bool // the answer is being passed on to the client
+	transfer        bool // it is counted in connUsage.transfers
 }
 
 // request is an open request. It is kept until its last attempt has ended.
@@ -174,7 +175,8 @@
 	mayMissChanges  bool                // the watch may have missed changes
 	listUnconfirmed bool                // the latest list is from a cache, or discovery has failed or moved since
 	queued          []*request          // highest worth first, then newest first
-	virtualTime     float64             // of the round robin
+	conns           connUsage
+	virtualTime     float64 // of the round robin
 
 	// Statistics of all upstreams.
 	latency, meanCost           float64 // running means: latency in nanoseconds, cost hint in nanoseconds
