Keep small bodies whole where large ones have used up the budget

Found by reading, behind the crowd of slow short bodies: with the budget of bodies used up a body of one byte was streamed. A streamed request cannot be sent again, holds more memory than its body, and counts as a transfer since the last commit: the crowd's bodies would have had those of others refused.

TestSmallBodyIsKeptWholeWithoutMemory fails before: nothing is buffered.

--- a/internal/proxy/head.go
+++ b/internal/proxy/head.go
@@ -16,9 +16,6 @@
 const (
 	maxHeadBytes  = 16 << 10 // a start line and header; those of interim responses count with the final one's
 	minHeadBuffer = 512      // bytes first allocated for a head
-	// uncountedHeadBytes is the size up to which the buffer of a head takes nothing from the budget, so that ordinary
-	// heads are read even when large ones have used it up.
-	uncountedHeadBytes = 2 << 10
 	// maxQuotedBytes limits how much of a malformed line an error quotes.
 	maxQuotedBytes = 80
 )
@@ -37,7 +34,7 @@
 	// spaces around it, and a line feed.
 	text     []byte
 	fieldsAt int           // index in text of the first field
-	budget   *memoryBudget // of buffers over uncountedHeadBytes; nil: unlimited
+	budget   *memoryBudget // of buffers over uncountedBytes; nil: unlimited
 }
 
 // readHead reads a start line and a header. The caller sets readLimit, and releases the head.
@@ -118,23 +115,15 @@
 	if size == cap(h.text) {
 		return nil
 	}
-	if !h.budget.reserve(countedHeadBytes(size) - countedHeadBytes(cap(h.text))) {
+	if !h.budget.reserve(countedBytes(size) - countedBytes(cap(h.text))) {
 		return errHeadMemory
 	}
 	h.text = append(make([]byte, 0, size), h.text...)
 	return nil
 }
 
-// countedHeadBytes returns how many bytes of the budget a buffer of the given size takes.
-func countedHeadBytes(size int) int {
-	if size <= uncountedHeadBytes {
-		return 0
-	}
-	return size
-}
-
 // release returns the memory of the head to its budget.
-func (h *head) release() { h.budget.release(countedHeadBytes(cap(h.text))) }
+func (h *head) release() { h.budget.release(countedBytes(cap(h.text))) }
 
 // storeField checks the line that begins at an index, the last one, and makes a field of it.
 func (h *head) storeField(begin int) error {
--- a/internal/proxy/head_test.go
+++ b/internal/proxy/head_test.go
@@ -95,7 +95,7 @@
 // TestLargeHeadsFailWithoutMemory guards against memory for heads beyond the budget, and against refusing ordinary
 // requests once large heads have used it up.
 func TestLargeHeadsFailWithoutMemory(t *testing.T) {
-	padding := "X-Pad: " + strings.Repeat("p", 2*uncountedHeadBytes) + "\r\n"
+	padding := "X-Pad: " + strings.Repeat("p", 2*uncountedBytes) + "\r\n"
 	upstream := newTestUpstream(t, func(c net.Conn, r *http.Request) bool {
 		if r.Header.Get("X-Want-Padding") != "" {
 			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+padding+"\r\n")
@@ -129,7 +129,7 @@
 
 // TestHeadsOfEndedRequestsAreReleased guards against a leak of memory for heads, whichever way a request ends.
 func TestHeadsOfEndedRequestsAreReleased(t *testing.T) {
-	padding := "X-Pad: " + strings.Repeat("p", 2*uncountedHeadBytes) + "\r\n"
+	padding := "X-Pad: " + strings.Repeat("p", 2*uncountedBytes) + "\r\n"
 	upstream := newTestUpstream(t, respondOK)
 	b := startBalancer(t, upMember("s-00000001", upstream))
 	var clients sync.WaitGroup
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -10,8 +10,19 @@
 const (
 	maxBufferedBody = 64 << 10 // bytes of a body kept in memory; only a fully buffered body can be sent again
 	minBodyBuffer   = 1 << 10  // bytes first allocated for a buffered body
+	// uncountedBytes is the size up to which the buffer of a head or of a body takes nothing from its budget, so that
+	// ordinary ones are kept whole even when large ones have used it up.
+	uncountedBytes = 2 << 10
 )
 
+// countedBytes returns how many bytes of its budget a buffer of the given size takes.
+func countedBytes(size int) int {
+	if size <= uncountedBytes {
+		return 0
+	}
+	return size
+}
+
 // memoryBudget limits the memory of buffers. A nil budget has no limit.
 type memoryBudget struct {
 	limit     atomic.Int64 // in bytes
@@ -43,7 +54,7 @@
 }
 
 // free returns the memory of a buffer that collect has allocated.
-func (m *memoryBudget) free(b []byte) { m.release(cap(b)) }
+func (m *memoryBudget) free(b []byte) { m.release(countedBytes(cap(b))) }
 
 // collect reads a body into a buffer until the body is complete, maxBufferedBody is reached, no memory is
 // available or more returns false. complete reports that the buffer holds the whole body. The buffer grows
@@ -52,7 +63,7 @@
 	for more() {
 		if len(b) == cap(b) {
 			grown := max(2*cap(b), minBodyBuffer)
-			if grown > maxBufferedBody || !m.reserve(grown-cap(b)) {
+			if grown > maxBufferedBody || !m.reserve(countedBytes(grown)-countedBytes(cap(b))) {
 				break
 			}
 			b = append(make([]byte, 0, grown), b...)
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -274,3 +275,21 @@
 		}
 	}
 }
+
+// TestSmallBodyIsKeptWholeWithoutMemory guards against small bodies that are streamed where large ones have used up the
+// budget: such a request cannot be sent again, and counts as a transfer, of which few are allowed.
+func TestSmallBodyIsKeptWholeWithoutMemory(t *testing.T) {
+	memory := newBodyMemory()
+	memory.available.Store(0)
+	buffered, complete, err := memory.collect(bytes.NewReader(zeroBody[:uncountedBytes-1]), always)
+	want(t, "error", err, nil)
+	want(t, "complete", complete, true)
+	want(t, "buffered bytes", len(buffered), uncountedBytes-1)
+	memory.free(buffered)
+	want(t, "available memory after a small body", memory.available.Load(), int64(0))
+	buffered, complete, err = memory.collect(bytes.NewReader(zeroBody), always)
+	want(t, "error of a large body", err, nil)
+	want(t, "large body complete", complete, false)
+	memory.free(buffered)
+	want(t, "available memory after a large body", memory.available.Load(), int64(0))
+}
