Let connections give way whose client has its response and is still sending

Found by reading, behind the crowd of stopped uploads: a connection whose request was answered early is read on for up to 2 s, so that the client gets the response. Meanwhile it counted as being served, so that it was never evicted: with all places so taken the next client waited 1.44 s in a test.

It counts as about to be closed from the response on, like one whose request is refused, and gives way where there is no room. TestEarlyResponsesLeaveRoomForClients fails before.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -32,7 +32,7 @@
 type clientStage uint8
 
 const (
-	clientReading clientStage = iota // waiting for or reading a request, or refusing it
+	clientReading clientStage = iota // waiting for or reading a request, or about to be closed
 	clientIdle                       // between requests
 	clientServing                    // a request is in flight
 )
--- a/internal/proxy/client_response.go
+++ b/internal/proxy/client_response.go
@@ -24,7 +24,7 @@
 // refuse responds to a request that can't be served. The caller then closes the connection, because the
 // start of the client's next request is unknown. Connection errors get no response.
 func (f *frontend) refuse(c *client, err error) {
-	f.setRefusing(c)
+	f.setClosing(c)
 	r := &refusal{http.StatusBadRequest, err.Error()}
 	if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
 		if c.timed.evicted.Load() {
--- a/internal/proxy/client_test.go
+++ b/internal/proxy/client_test.go
@@ -166,3 +166,29 @@
 		t.Errorf("got pauses of %v, want %v at least", paused, workSlice)
 	}
 }
+
+// TestEarlyResponsesLeaveRoomForClients guards against connections that hold all places until their clients have stopped
+// sending requests which have had their response.
+func TestEarlyResponsesLeaveRoomForClients(t *testing.T) {
+	t.Parallel()
+	upstream := newRawUpstream(t, func(c net.Conn) {
+		if _, err := readRequestHead(c); err == nil {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			io.Copy(io.Discard, c)
+		}
+	})
+	b := startBalancerWith(t, func(c *Config) { c.Sockets = 64 }, upMember("s-00000001", upstream))
+	for i := range b.config.Capacity(1).ClientConns {
+		c := b.dialClient(t)
+		io.WriteString(c, checkinRequest(fmt.Sprintf("X-Request-Id: %d\r\nContent-Length: %d\r\n", i, maxBodyBytes)))
+		c.Write(zeroBody)
+		c.readResponse(t)
+	}
+	start := time.Now()
+	c := b.dialClient(t)
+	io.WriteString(c, checkinRequest("X-Request-Id: next\r\nContent-Length: 0\r\n"))
+	c.readResponse(t)
+	if took := time.Since(start); took > earlyResponseLingerTimeout/2 {
+		t.Errorf("got the response to the next client after %v, want it at once", took)
+	}
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -183,8 +183,8 @@
 	c.stage, c.stageSince, c.requestStarted = s, time.Now(), true
 }
 
-// setRefusing notes that the request on c is being refused, so that c may be evicted.
-func (f *frontend) setRefusing(c *client) {
+// setClosing notes that c takes no further request and is about to be closed, so that it may be evicted.
+func (f *frontend) setClosing(c *client) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c.evicted == nil {
@@ -378,7 +378,7 @@
 		complete := w.stop()
 		w.reportDelivery(err)
 		if err == nil && !complete {
-			c.lingeringClose(earlyResponseLingerTimeout, maxBodyBytes)
+			f.closeAfterEarlyResponse(c)
 		}
 		return complete && err == nil && !closing
 	}
@@ -394,11 +394,18 @@
 		return false
 	}
 	if !complete {
-		c.lingeringClose(earlyResponseLingerTimeout, maxBodyBytes)
+		f.closeAfterEarlyResponse(c)
 	}
 	return complete && !closing
 }
 
+// closeAfterEarlyResponse closes a connection whose client has its response and may still be sending its request. From
+// here on c may be evicted.
+func (f *frontend) closeAfterEarlyResponse(c *client) {
+	f.setClosing(c)
+	c.lingeringClose(earlyResponseLingerTimeout, maxBodyBytes)
+}
+
 // capBudget limits a request's budget to the time left before killAt when stopping.
 func (f *frontend) capBudget(budget time.Duration) time.Duration {
 	f.mu.Lock()
