Give soaks crowds of every kind and the earliest kill, and play crowds by seed

The soak's crowd was of silent clients only, its kill came 3.7 s after SIGTERM where 1.45 s is the earliest for its deadlines, and nothing read the memory. Running seeds side by side stands once.

--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -1,8 +1,8 @@
 // Command scale measures the cost of the load balancer's control plane. It runs a fleet on this machine:
 // real balancers, which are processes of their own and serve clients, and hollow ones, which share
 // processes and have no clients. A slope varies one quantity, such as the number of upstreams, and a scene
-// plays a scenario, such as the loss of a zone. With --soak it runs the soak test of restarts instead. The
-// command uses the loopback interface only and ends all processes that it has started.
+// plays a scenario, such as the loss of a zone. With --soak it runs the soak test of restarts, with --crowds
+// the crowd test instead. The command uses the loopback interface only and ends all processes that it has started.
 package main
 
 import (
@@ -57,8 +57,9 @@
 		"path of an older olivearch program, run by every second real balancer for comparison")
 	soakSeeds := pflag.Int("soak", 0,
 		"number of seeds for which to run the soak test of restarts, instead of slopes and scenes")
-	firstSeed := pflag.Uint64("seed", 1, "first seed of the soak test")
-	parallelSeeds := pflag.Int("beside", 4, "number of seeds of the soak test that run at the same time")
+	crowds := pflag.Int("crowds", 0, "number of seeds for which to run the crowd test, instead of slopes and scenes")
+	firstSeed := pflag.Uint64("seed", 1, "first seed of the soak test or the crowd test")
+	parallelSeeds := pflag.Int("beside", 4, "number of seeds that run at the same time")
 	pflag.Parse()
 	if *role != "" {
 		return scale.ServeRole(*role)
@@ -66,6 +67,9 @@
 	if *soakSeeds > 0 {
 		return scale.RunSoaks(options.Program, *firstSeed, *soakSeeds, *parallelSeeds, os.Stdout)
 	}
+	if *crowds > 0 {
+		return scale.RunCrowds(options.Program, *firstSeed, *crowds, *parallelSeeds, os.Stdout)
+	}
 	if len(options.Slopes)+len(options.Scenes) == 0 && !options.MeasureInProcess {
 		options.Slopes, options.Scenes = []string{"all"}, []string{"settings", "zone", "restart"}
 	}
--- a/internal/scale/child.go
+++ b/internal/scale/child.go
@@ -23,6 +23,9 @@
 	RoleHollow    = "hollow"
 )
 
+// balancerChild is the name of the children that run a balancer.
+const balancerChild = "balancer"
+
 const (
 	maxChildren = 300
 	// maxRunMemoryBytes limits the resident memory of all processes of a run together. It is half of the memory
@@ -228,6 +231,21 @@
 	return sum
 }
 
+// balancersMemory returns the memory of all balancer processes that have not exited, without counting twice the pages of
+// their program.
+func (p *processGroup) balancersMemory() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var private, program int64
+	for _, c := range p.children {
+		if memory, err := processMemory(c.cmd.Process.Pid); c.name == balancerChild && err == nil {
+			private += memory.private
+			program = max(program, memory.file)
+		}
+	}
+	return private + program
+}
+
 // errMemoryLimit is the reason for aborting a run that exceeds maxRunMemoryBytes.
 var errMemoryLimit = errors.New("memory limit of the run exceeded")
 
--- a/internal/scale/crowd.go
+++ b/internal/scale/crowd.go
@@ -35,6 +35,9 @@
 	hold func(ctx context.Context, c net.Conn, id string)
 }
 
+// String returns the name.
+func (b CrowdBehaviour) String() string { return b.Name }
+
 // CrowdBehaviours returns all behaviours.
 func CrowdBehaviours() []CrowdBehaviour {
 	return []CrowdBehaviour{
--- a/internal/scale/crowd_run.go
+++ b/internal/scale/crowd_run.go
@@ -26,6 +26,9 @@
 	// crowdMinServedShare is the share of ordinary requests that must be served: what the gate of the standing test
 	// requires of a day.
 	crowdMinServedShare = 0.5
+	minRandomCrowd      = 100 // clients of random cases
+	maxRandomCrowd      = 1000
+	randomCrowdDuration = 15 * time.Second
 	maxCrowdFaultLines  = 20      // faults that an error lists
 	maxCrowdLogBytes    = 4 << 10 // of the balancer's log that an error quotes
 )
@@ -155,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	if r.balancer, err = r.processes.start("balancer", cmd); err != nil {
+	if r.balancer, err = r.processes.start(balancerChild, cmd); err != nil {
 		return err
 	}
 	r.result.LogPath = filepath.Join(r.dir, "balancer-1.log")
@@ -245,3 +248,35 @@
 		r.PeakMemory>>10, r.CPU.Seconds(), r.Requests, r.Statuses, r.SlowestReply.Round(time.Millisecond),
 		r.MaxDelay.Round(time.Millisecond))
 }
+
+// randomCrowdCase returns a case that a seed determines.
+func randomCrowdCase(seed uint64) CrowdCase {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	memoryMB := []int{32, 48, 64, 96, 128}
+	sockets := []int{256, 512, 1024}
+	behaviours := CrowdBehaviours()
+	rng.Shuffle(len(behaviours), func(i, j int) { behaviours[i], behaviours[j] = behaviours[j], behaviours[i] })
+	behaviours = behaviours[:1+rng.IntN(len(behaviours))]
+	return CrowdCase{Name: fmt.Sprint(behaviours), MemoryMB: memoryMB[rng.IntN(len(memoryMB))],
+		Sockets: sockets[rng.IntN(len(sockets))], Clients: minRandomCrowd + rng.IntN(maxRandomCrowd-minRandomCrowd),
+		Behaviours: behaviours, Duration: randomCrowdDuration, Seed: seed}
+}
+
+// RunCrowds runs random cases as RunSoaks runs seeds of the soak test.
+func RunCrowds(program string, first uint64, seeds, parallel int, out io.Writer) error {
+	failed, err := runSeeds(program, first, seeds, parallel, out, func(program string, seed uint64, dir string) (string, error) {
+		result, err := RunCrowd(program, randomCrowdCase(seed), dir)
+		if err == nil {
+			err = result.Err()
+		}
+		return result.String(), err
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%d crowds from seed %d on: %d failed\n", seeds, first, failed)
+	if failed > 0 {
+		return errCrowd
+	}
+	return nil
+}
--- a/internal/scale/soak.go
+++ b/internal/scale/soak.go
@@ -22,13 +22,17 @@
 const (
 	soakUpstreams   = 6
 	soakClientCount = 24 // clients, each with one connection
-	// soakIdleClients is the number of connections without requests, in runs that have them. It is more than a
-	// balancer accepts while it shares its limit of 1,024 sockets with its successor.
-	soakIdleClients     = 500
-	soakReadyTimeout    = 10 * time.Second
-	soakMaxEvents       = 4 // largest number of random events before the restart
-	soakMaxEventTime    = 600 * time.Millisecond
-	soakKillDelay       = 3700 * time.Millisecond // from SIGTERM to SIGKILL, longer than the deadline of any request
+	// soakCrowdClients is the number of clients of a crowd, in runs that have one. It is more than a balancer accepts while
+	// it shares its limit of 1,024 sockets with its successor.
+	soakCrowdClients  = 500
+	soakCrowdOneIn    = 3  // one in so many runs has a crowd
+	soakCrowdSlowdown = 10 // factor on the pauses of other clients in these runs
+	soakReadyTimeout  = 10 * time.Second
+	soakMaxEvents     = 4 // largest number of random events before the restart
+	soakMaxEventTime  = 600 * time.Millisecond
+	// soakKillDelay is the time from SIGTERM to SIGKILL: the longest deadline of a class and 0.7 s, the earliest that the
+	// protocol allows.
+	soakKillDelay       = soakRequestDeadline + 700*time.Millisecond
 	soakSettleTime      = 300 * time.Millisecond  // after the end of the last process, for late records
 	soakMoveOverlap     = 1500 * time.Millisecond // from SIGHUP until the previous discovery server stops
 	soakClockInterval   = 5 * time.Millisecond
@@ -40,14 +44,20 @@
 var soakDimensions = FleetDimensions{Balancers: 1, Classes: len(soakRequestClasses) + 1,
 	MaxDiscoveryInterval: 10 * time.Second}
 
+// soakMemoryMB is the memory limit of balancers without a crowd, and soakCrowdMemoryMB holds those with one.
+const soakMemoryMB = 128
+
+var soakCrowdMemoryMB = []int{32, 48, 96}
+
 // SoakResult is the result of one seed.
 type SoakResult struct {
-	Seed     uint64
-	Events   []string // log lines of the run, in order
-	Requests int
-	Restarts int
-	MaxDelay time.Duration // longest scheduling delay of the soak test's own process
-	Faults   []SoakFault
+	Seed       uint64
+	Events     []string // log lines of the run, in order
+	Requests   int
+	Restarts   int
+	MaxDelay   time.Duration // longest scheduling delay of the soak test's own process
+	PeakMemory int64         // highest memory of all balancer processes together, in bytes
+	Faults     []SoakFault
 }
 
 // SoakFault is a violation of a rule.
@@ -71,6 +81,7 @@
 // soak is the state of the run of one seed.
 type soak struct {
 	SoakResult
+	faultsMu         sync.Mutex // guards Faults and PeakMemory
 	rng              *rand.Rand
 	startTime        time.Time
 	dir              string // of the configuration and temporary files
@@ -86,7 +97,8 @@
 	upstreams        []*soakUpstream
 	arrivals         *soakArrivalLog
 	clients          *soakClients
-	hasIdleClients   bool              // soakIdleClients connect in this run
+	crowd            []CrowdBehaviour  // behaviours of the crowd; empty: this run has none
+	memoryMB         int               // limit of the balancers
 	drainAnnouncedAt map[int]time.Time // when discovery got the drain of an upstream, by index
 	discoveryOutage  bool              // discovery was unavailable or moved at some time in the run
 	closeWindows     []soakCloseWindow
@@ -115,8 +127,10 @@
 	s.Events = append(s.Events, fmt.Sprintf("%.3f s: ", time.Since(s.startTime).Seconds())+fmt.Sprintf(format, args...))
 }
 
-// fault records a violation of a rule.
+// fault records a violation of a rule. It may be called from any goroutine.
 func (s *soak) fault(rule, id, format string, args ...any) {
+	s.faultsMu.Lock()
+	defer s.faultsMu.Unlock()
 	s.Faults = append(s.Faults, SoakFault{rule, id, fmt.Sprintf(format, args...)})
 }
 
@@ -137,11 +151,11 @@
 	for i := range soakClientCount {
 		clients.Go(func() { s.clients.sendRequests(ctx, rand.New(rand.NewPCG(s.Seed, uint64(i)+1))) })
 	}
-	if s.hasIdleClients {
-		s.logEvent("%d idle clients connect", soakIdleClients)
-		for range soakIdleClients {
-			clients.Go(func() { s.clients.holdIdleConns(ctx) })
-		}
+	clients.Go(func() { s.watchMemory(ctx) })
+	if len(s.crowd) > 0 {
+		s.logEvent("a crowd of %d connects: %v; the memory limit is %d MB", soakCrowdClients, s.crowd, s.memoryMB)
+		c := crowd{s.listen, soakCrowdClients, s.crowd, s.Seed, s.clients.newCrowdID}
+		clients.Go(func() { c.run(ctx) })
 	}
 	for range 1 + s.rng.IntN(soakMaxEvents) {
 		time.Sleep(time.Duration(s.rng.Int64N(int64(soakMaxEventTime))))
@@ -169,7 +183,7 @@
 
 // prepare starts the upstreams and two discovery servers and writes the first configuration.
 func (s *soak) prepare() error {
-	s.hasIdleClients = s.rng.IntN(5) == 0
+	s.drawCrowd()
 	var addresses []string
 	for i := range soakUpstreams {
 		u, err := newSoakUpstream(i, s.arrivals)
@@ -202,10 +216,40 @@
 			return err
 		}
 	}
-	s.clients = &soakClients{address: s.listen, seed: s.Seed}
+	s.clients = &soakClients{address: s.listen, seed: s.Seed, pause: soakPause}
+	if len(s.crowd) > 0 {
+		s.clients.pause *= soakCrowdSlowdown
+	}
 	return s.writeConfig()
 }
 
+// drawCrowd decides whether the run has a crowd, how its clients behave, and the memory limit of the balancers.
+func (s *soak) drawCrowd() {
+	s.memoryMB = soakMemoryMB
+	if s.rng.IntN(soakCrowdOneIn) > 0 {
+		return
+	}
+	s.memoryMB = soakCrowdMemoryMB[s.rng.IntN(len(soakCrowdMemoryMB))]
+	s.crowd = CrowdBehaviours()
+	s.rng.Shuffle(len(s.crowd), func(i, j int) { s.crowd[i], s.crowd[j] = s.crowd[j], s.crowd[i] })
+	s.crowd = s.crowd[:1+s.rng.IntN(len(s.crowd))]
+}
+
+// watchMemory reads the memory of all balancer processes until ctx ends, and records a fault if they exceed their limit.
+func (s *soak) watchMemory(ctx context.Context) {
+	limit := int64(s.memoryMB) << 20
+	for exceeded := false; ctx.Err() == nil; sleepUntilDone(ctx, crowdMemoryInterval) {
+		used := s.processes.balancersMemory()
+		s.faultsMu.Lock()
+		s.PeakMemory = max(s.PeakMemory, used)
+		s.faultsMu.Unlock()
+		if used > limit && !exceeded {
+			exceeded = true
+			s.fault("memory", "", "%d KiB of memory, the limit is %d KiB", used>>10, limit>>10)
+		}
+	}
+}
+
 // configPath returns the path of the balancers' configuration file.
 func (s *soak) configPath() string { return filepath.Join(s.dir, "config.json") }
 
@@ -216,7 +260,7 @@
 		return err
 	}
 	_, err = template.write(s.configPath(), BalancerSpec{Name: "b0", Listen: s.listen,
-		Discovery: s.discoveryServers[s.serverIndex].address, Zone: zoneName(0), MemoryMB: 128})
+		Discovery: s.discoveryServers[s.serverIndex].address, Zone: zoneName(0), MemoryMB: s.memoryMB})
 	return err
 }
 
@@ -235,7 +279,7 @@
 		cmd.ExtraFiles = []*os.File{s.listener}
 		cmd.Env = append(cmd.Env, "RELAY_INHERITED_FD=3")
 	}
-	c, err := s.processes.start("balancer", cmd)
+	c, err := s.processes.start(balancerChild, cmd)
 	if err != nil {
 		return nil, err
 	}
@@ -424,40 +468,27 @@
 // for each seed and the faults of those that fail to out, and returns an error if any fails. If program is
 // empty, it is built.
 func RunSoaks(program string, first uint64, seeds, parallel int, out io.Writer) error {
-	dir, err := os.MkdirTemp("", "soak")
-	if err != nil {
-		return fmt.Errorf("creating the directory of the soak test: %w", err)
-	}
-	defer os.RemoveAll(dir)
-	if program == "" {
-		if program, err = BuildBalancer(dir); err != nil {
-			return err
-		}
-	}
 	var mu sync.Mutex
-	var running sync.WaitGroup
-	requests, restarts, failed, delayed := 0, 0, 0, 0
-	slots := make(chan struct{}, parallel)
-	for seed := first; seed < first+uint64(seeds); seed++ {
-		slots <- struct{}{}
-		running.Go(func() {
-			defer func() { <-slots }()
-			result, err := runSoakInDir(program, seed, dir)
-			mu.Lock()
-			defer mu.Unlock()
-			requests, restarts = requests+result.Requests, restarts+result.Restarts
-			fmt.Fprintf(out, "seed %d: %d requests, %d restarts\n", seed, result.Requests, result.Restarts)
-			if result.MaxDelay > soakDelayTolerance {
-				delayed++
-				fmt.Fprintf(out, "seed %d had scheduling delays of up to %v: timing rules not checked\n", seed, result.MaxDelay)
-			}
-			if err != nil {
-				failed++
-				fmt.Fprintln(out, err)
-			}
-		})
+	requests, restarts, delayed := 0, 0, 0
+	failed, err := runSeeds(program, first, seeds, parallel, out, func(program string, seed uint64, dir string) (string, error) {
+		result, err := RunSoak(program, seed, dir)
+		if err == nil {
+			err = result.Err()
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		requests, restarts = requests+result.Requests, restarts+result.Restarts
+		line := fmt.Sprintf("seed %d: %d requests, %d restarts, at most %d KiB", seed, result.Requests, result.Restarts,
+			result.PeakMemory>>10)
+		if result.MaxDelay > soakDelayTolerance {
+			delayed++
+			line += fmt.Sprintf("; scheduling delays of up to %v: timing rules not checked", result.MaxDelay)
+		}
+		return line, err
+	})
+	if err != nil {
+		return err
 	}
-	running.Wait()
 	fmt.Fprintf(out, "%d seeds from %d on: %d failed, %d delayed; %d requests, %d restarts\n", seeds, first, failed,
 		delayed, requests, restarts)
 	if failed > 0 {
@@ -465,16 +496,3 @@
 	}
 	return nil
 }
-
-// runSoakInDir runs a seed in its own subdirectory of dir.
-func runSoakInDir(program string, seed uint64, dir string) (SoakResult, error) {
-	seedDir := filepath.Join(dir, fmt.Sprint(seed))
-	if err := os.Mkdir(seedDir, 0o700); err != nil {
-		return SoakResult{}, fmt.Errorf("creating the directory of a seed: %w", err)
-	}
-	result, err := RunSoak(program, seed, seedDir)
-	if err == nil {
-		err = result.Err()
-	}
-	return result, err
-}
--- a/internal/scale/soak_check.go
+++ b/internal/scale/soak_check.go
@@ -87,14 +87,14 @@
 
 // wasAccepted reports whether a request without a response was certainly accepted by a balancer: it reached
 // an upstream, or it came on a new connection while the balancer did not close connections without reading
-// them. A balancer may do so while it is out of service, after SIGTERM and with many idle clients. It may
+// them. A balancer may do so while it is out of service, after SIGTERM and in a crowd. It may
 // close a reused connection at any time; a request that is sent meanwhile stays unread, and the client may
 // send it again.
 func (s *soak) wasAccepted(r *soakRequest, arrivals []*soakArrival) bool {
 	if len(arrivals) > 0 {
 		return true
 	}
-	if !r.firstOnConn || s.hasIdleClients {
+	if !r.firstOnConn || len(s.crowd) > 0 {
 		return false
 	}
 	for _, window := range s.closeWindows {
--- a/internal/scale/soak_client.go
+++ b/internal/scale/soak_client.go
@@ -18,7 +18,7 @@
 const (
 	soakRequestDeadline    = 750 * time.Millisecond // deadline of all requests
 	soakClientTimeout      = 5 * time.Second        // time after which a client stops waiting for a response
-	soakPause              = 10 * time.Millisecond  // mean time between requests, also used between polls and reconnects
+	soakPause              = 10 * time.Millisecond  // usual mean time between requests, also used between polls and reconnects
 	soakChunkSize          = 16 << 10               // bytes per write of an upload
 	soakMaxAbortDelay      = 150 * time.Millisecond // longest time until a client aborts its request
 	soakAbortedUploadBytes = 80 << 10               // size of an aborted upload; fits the balancer's receive buffer
@@ -57,8 +57,10 @@
 type soakClients struct {
 	address    string
 	seed       uint64
+	pause      time.Duration // mean time between two requests of a client
 	mu         sync.Mutex
 	lastSerial int // serial number of the last request
+	crowdIDs   int // IDs given to requests of a crowd
 	requests   []*soakRequest
 }
 
@@ -73,6 +75,14 @@
 	return r
 }
 
+// newCrowdID returns an ID for a request of a crowd, which is not recorded.
+func (s *soakClients) newCrowdID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crowdIDs++
+	return fmt.Sprintf("%08xc%07x", s.seed, s.crowdIDs)
+}
+
 // sendRequests sends requests on one connection after another until ctx ends, on each for as long as it is open.
 func (s *soakClients) sendRequests(ctx context.Context, rng *rand.Rand) {
 	for ctx.Err() == nil {
@@ -83,7 +93,7 @@
 		}
 		connectedAt, reader := time.Now(), bufio.NewReader(c)
 		for firstOnConn := true; ctx.Err() == nil; firstOnConn = false {
-			time.Sleep(time.Duration(rng.ExpFloat64() * float64(soakPause)))
+			time.Sleep(time.Duration(rng.ExpFloat64() * float64(s.pause)))
 			r := s.newRequest(rng)
 			r.connectedAt, r.firstOnConn = connectedAt, firstOnConn
 			if !r.exchange(c, reader, rng) {
@@ -94,21 +104,6 @@
 	}
 }
 
-// holdIdleConns keeps a connection open without sending requests and reconnects when it is closed, until ctx ends.
-func (s *soakClients) holdIdleConns(ctx context.Context) {
-	for ctx.Err() == nil {
-		c, err := net.DialTimeout("tcp", s.address, soakRequestDeadline)
-		if err != nil {
-			time.Sleep(soakPause)
-			continue
-		}
-		stopClose := context.AfterFunc(ctx, func() { c.Close() })
-		io.Copy(io.Discard, c)
-		stopClose()
-		c.Close()
-	}
-}
-
 // exchange sends a request and reads the response. At random it uploads a large body in chunks, aborts the
 // request, or pipelines a second one. It reports whether the connection can be used again.
 func (r *soakRequest) exchange(c net.Conn, reader *bufio.Reader, rng *rand.Rand) bool {
--- a/internal/scale/soak_test.go
+++ b/internal/scale/soak_test.go
@@ -21,7 +21,7 @@
 			if err := result.Err(); err != nil {
 				t.Error(err)
 			}
-			t.Logf("%d requests, %d restarts, scheduling delays of up to %v", result.Requests, result.Restarts, result.MaxDelay)
+			t.Logf("%d requests, %d restarts, at most %d KiB, scheduling delays of up to %v", result.Requests, result.Restarts, result.PeakMemory>>10, result.MaxDelay)
 		})
 	}
 }
--- a/internal/scale/usage.go
+++ b/internal/scale/usage.go
@@ -56,6 +56,25 @@
 		RSS: int64(s.ResidentMemory())}, nil
 }
 
+// residentMemory is the resident memory of a process, in bytes.
+type residentMemory struct {
+	private int64 // of the process alone, or shared without a file
+	file    int64 // pages of files, such as the program
+}
+
+// processMemory returns the resident memory of a process by its PID.
+func processMemory(pid int) (residentMemory, error) {
+	p, err := procfs.NewProc(pid)
+	if err != nil {
+		return residentMemory{}, fmt.Errorf("reading the memory of process %d: %w", pid, err)
+	}
+	s, err := p.NewStatus()
+	if err != nil {
+		return residentMemory{}, fmt.Errorf("reading the memory of process %d: %w", pid, err)
+	}
+	return residentMemory{private: int64(s.RssAnon + s.RssShmem), file: int64(s.RssFile)}, nil
+}
+
 // processorBusyTime returns the total time for which the processors that this process may run on have been
 // busy with any work since the system was started. It has a resolution of 10 ms.
 func processorBusyTime() (time.Duration, error) {
