Take ETIMEDOUT for a broken connection, not for a deadline of our own

What callers would have seen: a response without a length that is cut off and passes for whole (200).

Cause: package net says Timeout of both, a deadline that was set and ETIMEDOUT of the system. The latter was not kept as the connection's end; the system tells it once, and then the end of the stream, which ends such a body.

Change: only os.ErrDeadlineExceeded counts as a deadline, in all five places that asked. A request on a client's connection that breaks so gets no 408 any more.

--- a/internal/proxy/client_response.go
+++ b/internal/proxy/client_response.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 )
@@ -26,7 +25,7 @@
 func (f *frontend) refuse(c *client, err error) {
 	f.setClosing(c)
 	r := &refusal{status: http.StatusBadRequest, reason: err.Error()}
-	if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+	if isDeadlineError(err) {
 		if c.timed.evicted.Load() {
 			return
 		}
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -53,7 +53,7 @@
 		return 0, c.err
 	}
 	n, err := c.Conn.Read(b)
-	if timeout := net.Error(nil); !errors.As(err, &timeout) || !timeout.Timeout() {
+	if !isDeadlineError(err) {
 		c.err = err
 	}
 	return n, err
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -151,8 +151,7 @@
 	if at := a.readDeadline.Load(); at != 0 { // set by the loop in the meantime
 		a.conn.SetReadDeadline(time.Unix(0, at))
 	}
-	timeout := net.Error(nil)
-	return !errors.As(err, &timeout) || !timeout.Timeout()
+	return !isDeadlineError(err)
 }
 
 // responseStream is a response that is streamed to the client. The frontend reads the body from the upstream's
@@ -308,8 +307,7 @@
 	for {
 		c.SetWriteDeadline(time.Now().Add(bodyIdleTimeout))
 		n, err := c.Write(b)
-		timeout := net.Error(nil)
-		if b = b[n:]; err == nil || n == 0 || !errors.As(err, &timeout) || !timeout.Timeout() {
+		if b = b[n:]; err == nil || n == 0 || !isDeadlineError(err) {
 			return err
 		}
 	}
--- a/internal/proxy/watcher.go
+++ b/internal/proxy/watcher.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 )
@@ -120,9 +119,7 @@
 // reportDelivery posts responseDelivered unless the response could not be written or the client has closed its
 // connection. It is called after stop.
 func (w *clientWatcher) reportDelivery(writeErr error) {
-	timeout := net.Error(nil)
-	connected := w.readErr == nil || errors.Is(w.readErr, errBodyUnwanted) ||
-		errors.As(w.readErr, &timeout) && timeout.Timeout()
+	connected := w.readErr == nil || errors.Is(w.readErr, errBodyUnwanted) || isDeadlineError(w.readErr)
 	if writeErr == nil && connected && w.req.unsafe() {
 		w.front.post(responseDelivered{w.req})
 	}
