Measure spans on connections by the monotonic clock alone

Behind a step back a client's connection that had sent bytes did not count as stalled, so that in a crowd none gave way until the clock had caught up, and an upload's time began an hour later; behind a step forward uploads were refused as overdue. The end of an attempt's reading, set again while a response comes, could move by an hour.

They are kept as spans from a fixed time with its monotonic reading.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -45,8 +45,8 @@
 	remaining   time.Duration // time that reads may still take
 	stopped     atomic.Bool   // reads fail at once
 	evicted     atomic.Bool   // reads fail at once
-	lastRead    atomic.Int64  // when bytes were last read, in Unix nanoseconds
-	awaitedAt   atomic.Int64  // when the last read that had to wait for the client ended, in Unix nanoseconds
+	lastRead    atomicTime    // when bytes were last read
+	awaitedAt   atomicTime    // when the last read that had to wait for the client ended
 	slicer      workSlicer    // of the work since a read last had to wait; used by the goroutine that reads
 }
 
@@ -70,10 +70,10 @@
 		return n, err
 	}
 	if n > 0 {
-		c.lastRead.Store(end.UnixNano())
+		c.lastRead.store(end)
 	}
 	if end.Sub(start) >= minReadWait {
-		c.awaitedAt.Store(end.UnixNano())
+		c.awaitedAt.store(end)
 	}
 	c.remaining -= end.Sub(start)
 	if c.readingBody {
@@ -94,13 +94,16 @@
 }
 
 // lastAwaited returns when the last read that had to wait for the client ended.
-func (c *timedConn) lastAwaited() time.Time { return time.Unix(0, c.awaitedAt.Load()) }
+func (c *timedConn) lastAwaited() time.Time {
+	at, _ := c.awaitedAt.load()
+	return at
+}
 
 // SetReadDeadline sets the deadline of reads, unless they fail at once.
 func (c *timedConn) SetReadDeadline(at time.Time) error {
 	err := c.Conn.SetReadDeadline(at)
 	if c.stopped.Load() || c.evicted.Load() { // checked after the deadline is set, which may have overwritten theirs
-		return c.Conn.SetReadDeadline(time.Unix(0, 1))
+		return c.Conn.SetReadDeadline(longAgo)
 	}
 	return err
 }
@@ -108,13 +111,13 @@
 // stop makes current and later reads fail with a timeout. It may be called from any goroutine.
 func (c *timedConn) stop() {
 	c.stopped.Store(true)
-	c.Conn.SetReadDeadline(time.Unix(0, 1))
+	c.Conn.SetReadDeadline(longAgo)
 }
 
 // evict does the same until resume is called.
 func (c *timedConn) evict() {
 	c.evicted.Store(true)
-	c.Conn.SetReadDeadline(time.Unix(0, 1))
+	c.Conn.SetReadDeadline(longAgo)
 }
 
 // client is a client's connection. frontend.mu guards stage, stageSince, requestStarted and evicted.
@@ -150,7 +153,7 @@
 // ranks above all that have sent something.
 func (c *client) stalled(now time.Time) time.Duration {
 	last := c.stageSince
-	if lastRead := time.Unix(0, c.timed.lastRead.Load()); lastRead.After(last) {
+	if lastRead, isSet := c.timed.lastRead.load(); isSet && lastRead.After(last) {
 		last = lastRead
 	}
 	stalled := now.Sub(last)
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -317,7 +317,7 @@
 		if first { // the first request's time counts from the accept
 			c.timed.remaining -= time.Since(c.acceptedAt)
 		}
-		c.timed.awaitedAt.Store(time.Now().UnixNano())
+		c.timed.awaitedAt.store(time.Now())
 		req, clientCloses, err := f.readRequest(c)
 		if err != nil {
 			c.timed.limited = false
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -610,7 +610,7 @@
 		near, far := net.Pipe()
 		t.Cleanup(func() { near.Close(); far.Close() })
 		limitedConn := newTimedConn(near)
-		limitedConn.lastRead.Store(now.Add(-readAge).UnixNano())
+		limitedConn.lastRead.store(now.Add(-readAge))
 		c := &client{httpConn: newHTTPConn(limitedConn, 16), timed: limitedConn, stage: initialStage,
 			requestStarted: started, stageSince: now.Add(-stageAge)}
 		front.clients[c] = struct{}{}
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -124,7 +124,7 @@
 func (c *uploadConn) SetWriteDeadline(at time.Time) error {
 	err := c.Conn.SetWriteDeadline(at)
 	if c.stopped.Load() { // checked after the deadline is set, which may have overwritten the one set by stop
-		return c.Conn.SetWriteDeadline(time.Unix(0, 1))
+		return c.Conn.SetWriteDeadline(longAgo)
 	}
 	return err
 }
@@ -132,7 +132,7 @@
 // stop makes current and later writes fail with a timeout. It may be called from any goroutine.
 func (c *uploadConn) stop() {
 	c.stopped.Store(true)
-	c.Conn.SetWriteDeadline(time.Unix(0, 1))
+	c.Conn.SetWriteDeadline(longAgo)
 }
 
 // abandonUpload prevents the last byte of a streaming request from being written, and reports whether it did.
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -106,7 +106,7 @@
 	responseDeadline   time.Duration // 0: the request's last byte was pending at Send
 	writeDeadline      atomic.Int64  // loop's clock; latest time for writing, if other attempts may run; 0: none
 	stage              atomic.Int32
-	readDeadline       atomic.Int64  // Unix nanoseconds: end of reading; 0: not set by the loop
+	readDeadline       atomicTime    // end of reading; none: not set by the loop
 	uploadDone         chan struct{} // closed when the upload has ended; nil: the request is not streaming
 	uploadConn         *uploadConn   // the connection, as the upload writes to it
 	uploadStage        atomic.Int32
@@ -129,7 +129,7 @@
 
 // setReadDeadline ends the reading of the response at a time.
 func (a *attempt) setReadDeadline(readDeadline time.Time) {
-	a.readDeadline.Store(readDeadline.UnixNano())
+	a.readDeadline.store(readDeadline)
 	a.conn.SetReadDeadline(readDeadline)
 }
 
@@ -139,7 +139,7 @@
 	if halfCloser, ok := a.conn.Conn.(interface{ CloseWrite() error }); ok {
 		halfCloser.CloseWrite() // fails only if the connection is already broken
 	}
-	a.setReadDeadline(time.Unix(0, 1))
+	a.setReadDeadline(longAgo)
 }
 
 // awaitBody waits until a part of the response's body has arrived, or its end. It reports false if nothing has by the
@@ -148,8 +148,8 @@
 	a.conn.SetReadDeadline(until)
 	err := body.await()
 	a.conn.SetReadDeadline(time.Time{})
-	if at := a.readDeadline.Load(); at != 0 { // set by the loop in the meantime
-		a.conn.SetReadDeadline(time.Unix(0, at))
+	if at, isSet := a.readDeadline.load(); isSet { // by the loop in the meantime
+		a.conn.SetReadDeadline(at)
 	}
 	return !isDeadlineError(err)
 }
