Keep the IDs that two processes share by the machine's uptime, not by the wall clock

Where the clock was set forward between the two starts, the new process took every ID for expired, so that a request that came again ran twice; where it was set back, IDs stayed for an hour longer.

Times in the table are by /proc/uptime now, which both processes read at their start and continue by the monotonic clock. The file has a new name, as the older program writes other times: during the one upgrade from it the two do not share IDs. TestSharedIDsOutlastClockStep fails before, for both directions.

--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -43,8 +43,9 @@
 	serial          uint64 // last number given to a timer or a request
 	timers          timers
 	requests        map[garnettide.RequestID]*request
-	openIDs         map[string]bool // client request IDs of the entries of requests
-	requestIDs      *requestIDTable // of requests that may not simply be repeated
+	openIDs         map[string]bool               // client request IDs of the entries of requests
+	requestIDs      *requestIDTable               // of requests that may not simply be repeated
+	uptime          func() (time.Duration, error) // of the machine, for requestIDs if they are shared
 	upstreams       map[garnettide.UpstreamID]*upstream
 	inMaintenance   map[string]garnettide.UpstreamID // upstreams in maintenance, by discovery ID
 	recentIDs       *recentIDs
@@ -62,6 +63,7 @@
 		settings:            c.Plan.Settings(),
 		upstreamIdleTimeout: upstreamIdleTimeout(c.ConnTimeouts), maxConns: capacity.UpstreamConns,
 		upstreamIDs: newUpstreamIDs(), requests: map[garnettide.RequestID]*request{}, openIDs: map[string]bool{}, requestIDs: &requestIDTable{},
+		uptime:    readUptime,
 		upstreams: map[garnettide.UpstreamID]*upstream{}, inMaintenance: map[string]garnettide.UpstreamID{},
 		recentIDs: newRecentIDs(), onListApplied: c.OnListApplied}
 	// The clock starts at Unix time, so that discovery's timestamps can be compared with it, and advances with
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -32,7 +32,7 @@
 		defer state.close()
 		savedOrders = *state.current.Load()
 		if state.shared {
-			l.shareRequestIDs(state.path + ".ids")
+			l.shareRequestIDs(state.path + ".requests")
 		}
 	}
 	l.start(&c, savedOrders.Offline)
--- a/internal/proxy/request_ids.go
+++ b/internal/proxy/request_ids.go
@@ -1,12 +1,14 @@
 package proxy
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
 	"log/slog"
 	"os"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -34,12 +36,32 @@
 // idSlot holds an ID. Both fields are 0 in a slot that has never been used.
 type idSlot struct {
 	hash  atomic.Uint64
-	until atomic.Int64 // by the loop's clock, in nanoseconds; the slot is free from then on
+	until atomic.Int64 // by the table's clock, in nanoseconds; the slot is free from then on
 }
 
 // requestIDTable holds the IDs of requests that are open or may have run. Several processes may use it at a time.
 type requestIDTable struct {
 	slots []idSlot // nil: not needed so far
+	// clockOffset is added to times of the loop's clock. Times in a shared table are by a clock that all processes have.
+	clockOffset time.Duration
+}
+
+// uptimeFile holds the time since the machine was started, in seconds, as its first field.
+const uptimeFile = "/proc/uptime"
+
+// readUptime returns the time since the machine was started. It goes on when the system's clock is set, and is the same
+// for all processes.
+func readUptime() (time.Duration, error) {
+	text, err := os.ReadFile(uptimeFile)
+	if err != nil {
+		return 0, fmt.Errorf("uptime: %w", err)
+	}
+	seconds, _, _ := strings.Cut(string(text), " ")
+	uptime, err := time.ParseDuration(strings.TrimSpace(seconds) + "s")
+	if err != nil {
+		return 0, fmt.Errorf("uptime: %w", err)
+	}
+	return uptime, nil
 }
 
 // openSharedIDs returns a table in a file, which is created if there is none.
@@ -57,17 +79,19 @@
 	if err != nil {
 		return nil, fmt.Errorf("request IDs: %w", err)
 	}
-	return &requestIDTable{unsafe.Slice((*idSlot)(unsafe.Pointer(&memory[0])), idSlots)}, nil
+	return &requestIDTable{slots: unsafe.Slice((*idSlot)(unsafe.Pointer(&memory[0])), idSlots)}, nil
 }
 
 // shareRequestIDs shares the table of IDs with the other processes of this balancer, if the file can be used. It is
 // called before start.
 func (l *loop) shareRequestIDs(path string) {
 	table, err := openSharedIDs(path)
-	if err != nil {
+	uptime, uptimeErr := l.uptime()
+	if err = cmp.Or(err, uptimeErr); err != nil {
 		slog.Error("the other process of an upgrade will not know which requests have run", "err", err)
 		return
 	}
+	table.clockOffset = uptime - l.now()
 	l.requestIDs = table
 }
 
@@ -77,7 +101,8 @@
 	return max(1, binary.LittleEndian.Uint64(sum[:])) // 0 stands for no ID
 }
 
-// claim stores an ID until a time and reports true, or reports false if it is stored already.
+// claim stores an ID until a time and reports true, or reports false if it is stored already. Times are by the loop's
+// clock.
 func (t *requestIDTable) claim(id string, now, until time.Duration) bool {
 	if t.slots == nil {
 		t.slots = make([]idSlot, idSlots)
@@ -89,7 +114,7 @@
 			return false
 		}
 		if old := free.hash.Load(); free.hash.CompareAndSwap(old, hash) { // fails if another process was first
-			free.until.Store(int64(until))
+			free.until.Store(int64(until + t.clockOffset))
 			return true
 		}
 	}
@@ -98,12 +123,13 @@
 // setUntil changes the time until which a claimed ID is stored.
 func (t *requestIDTable) setUntil(id string, now, until time.Duration) {
 	if slot, found := t.find(hashRequestID(id), now); found {
-		slot.until.Store(int64(until))
+		slot.until.Store(int64(until + t.clockOffset))
 	}
 }
 
 // find returns the slot of an ID, or else the slot that the ID would take.
 func (t *requestIDTable) find(hash uint64, now time.Duration) (slot *idSlot, found bool) {
+	now += t.clockOffset
 	for i := range uint64(idProbes) {
 		s := &t.slots[(hash+i)%idSlots]
 		if s.hash.Load() == hash && s.until.Load() > int64(now) {
--- a/internal/proxy/request_ids_test.go
+++ b/internal/proxy/request_ids_test.go
@@ -27,7 +27,10 @@
 						var started atomic.Int32
 						newProcess := func() *memBalancer {
 							b := newMemBalancer(t, emptyPipe, dialBlocked, func(*Config, *garnettide.Settings) {})
-							b.runOnLoop(func(l *loop) { l.shareRequestIDs(idFile) })
+							b.runOnLoop(func(l *loop) {
+								l.uptime = testUptime
+								l.shareRequestIDs(idFile)
+							})
 							close(b.connectGate)
 							return b
 						}
@@ -109,3 +112,24 @@
 	}
 	want(t, "slots", len(table.slots), idSlots)
 }
+
+// testUptime stands for the machine's uptime where the clock is that of a synctest bubble.
+func testUptime() (time.Duration, error) { return time.Since(timeReference), nil }
+
+// TestSharedIDsOutlastClockStep guards against two processes that take times in the table they share by different clocks:
+// the second one has been started after the system's clock was set.
+func TestSharedIDsOutlastClockStep(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, time.Hour} {
+		path := filepath.Join(t.TempDir(), "ids")
+		first, second := newLoopHarness(t), newLoopHarness(t)
+		second.clockBase += step
+		first.shareRequestIDs(path)
+		second.shareRequestIDs(path)
+		now := first.now()
+		want(t, "claimed at first", first.requestIDs.claim("7", now, now+idRetention), true)
+		want(t, fmt.Sprintf("claimed again by the other process, its clock set by %v", step),
+			second.requestIDs.claim("7", second.now(), second.now()+idRetention), false)
+		want(t, fmt.Sprintf("claimed again after its time, the clock set by %v", step),
+			second.requestIDs.claim("7", second.now()+2*idRetention, second.now()+3*idRetention), true)
+	}
+}
