Reserve the space of the shared table of request IDs, so that a full folder ends no process

The blocks are reserved when the table is opened. Where that fails the process has a table of its own and logs it, as for any other failure to open it. TestSharedIDsHaveTheirSpace fails before: 0 of 262,144 bytes reserved.

--- a/internal/proxy/request_ids.go
+++ b/internal/proxy/request_ids.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -75,6 +76,9 @@
 	if err := f.Truncate(int64(size)); err != nil {
 		return nil, fmt.Errorf("request IDs: %w", err)
 	}
+	if err := reserveSpace(f, int64(size)); err != nil {
+		return nil, fmt.Errorf("request IDs: %w", err)
+	}
 	memory, err := syscall.Mmap(int(f.Fd()), 0, size, syscall.PROT_READ|syscall.PROT_WRITE, syscall.MAP_SHARED)
 	if err != nil {
 		return nil, fmt.Errorf("request IDs: %w", err)
@@ -82,6 +86,16 @@
 	return &requestIDTable{slots: unsafe.Slice((*idSlot)(unsafe.Pointer(&memory[0])), idSlots)}, nil
 }
 
+// reserveSpace reserves the space of a file's first bytes. Without it, a write to the file's mapping ends the process while
+// the file system is full. It does nothing where the system or the file system cannot reserve space.
+func reserveSpace(f *os.File, size int64) error {
+	err := syscall.Fallocate(int(f.Fd()), 0, 0, size)
+	if errors.Is(err, errors.ErrUnsupported) {
+		return nil
+	}
+	return err
+}
+
 // shareRequestIDs shares the table of IDs with the other processes of this balancer, if the file can be used. It is
 // called before start.
 func (l *loop) shareRequestIDs(path string) {
--- a/internal/proxy/request_ids_test.go
+++ b/internal/proxy/request_ids_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,3 +135,20 @@
 			second.requestIDs.claim("7", second.now()+2*idRetention, second.now()+3*idRetention), true)
 	}
 }
+
+// TestSharedIDsHaveTheirSpace guards against a table of request IDs that ends the process when it is written to while the
+// file system is full.
+func TestSharedIDsHaveTheirSpace(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "ids")
+	if _, err := openSharedIDs(path); err != nil {
+		t.Fatal(err)
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const blockSize = 512 // of Stat_t.Blocks
+	if reserved := info.Sys().(*syscall.Stat_t).Blocks * blockSize; reserved < info.Size() {
+		t.Errorf("got %d bytes of %d reserved, want all", reserved, info.Size())
+	}
+}
