Start although the folder takes no writes, and be seen by other processes once it does

It starts without the lock, logs that others do not see it yet, and tries again at each poll of the orders. An order that cannot be stored is answered with no, as before. TestStartWithFailingFolder fails before: the state file cannot be opened.

--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -83,10 +83,12 @@
 
 // stateFile stores the orders in a file that successive and overlapping processes of one balancer share.
 type stateFile struct {
-	path        string
-	shared      bool     // other processes of this balancer may be running
-	processLock *os.File // locked while this process runs; nil: not shared, or no free slot
-	slot        int      // number of the lock file of this process, below maxProcesses
+	path   string
+	shared bool // other processes of this balancer may be running
+
+	slotMu      sync.Mutex // held while processLock and slot change
+	processLock *os.File   // locked while this process runs; nil: not shared, or no slot could be locked
+	slot        int        // number of the lock file of this process, below maxProcesses
 
 	current     atomic.Pointer[operatorOrders]
 	mu          sync.Mutex  // held while current and currentInfo change
@@ -95,17 +97,17 @@
 
 // openStateFile reads the orders stored by earlier processes. A file that can't be used is logged and does
 // not prevent the start. If other processes may be running, it also locks a slot for this one.
-func openStateFile(c *Config) (*stateFile, error) {
+func openStateFile(c *Config) *stateFile {
 	s := &stateFile{path: filepath.Join(c.StateDir, "olivearch-"+url.PathEscape(c.Name)+".json"),
 		shared: c.InheritedFD != 0}
 	// The method alone, in another process, locks free slots for a moment, so each slot is tried several times.
 	for try := 0; s.shared && s.processLock == nil && try < 10*maxProcesses; try++ {
-		s.slot = try % maxProcesses
-		var err error
-		if s.processLock, err = tryLock(s.processLockPath(s.slot)); err != nil {
-			return nil, fmt.Errorf("orders: locking the process file: %w", err)
+		locked, err := s.lockSlot(try % maxProcesses)
+		if err != nil { // the folder may be full for a while: followOrders tries again
+			slog.Error("orders: locking the process file failed: other processes do not see this one yet", "err", err)
+			break
 		}
-		if s.processLock == nil {
+		if !locked {
 			time.Sleep(lockRetryInterval)
 		}
 	}
@@ -119,7 +121,34 @@
 		slog.Info("orders read", "out_of_service", o.OutOfService, "offline", o.Offline)
 	}
 	s.current.Store(&o)
-	return s, nil
+	return s
+}
+
+// lockSlot locks a slot for this process, and reports whether it was free.
+func (s *stateFile) lockSlot(slot int) (locked bool, err error) {
+	s.slotMu.Lock()
+	defer s.slotMu.Unlock()
+	s.slot = slot
+	s.processLock, err = tryLock(s.processLockPath(slot))
+	return s.processLock != nil, err
+}
+
+// ownSlot returns the slot of this process, and whether it is locked.
+func (s *stateFile) ownSlot() (slot int, locked bool) {
+	s.slotMu.Lock()
+	defer s.slotMu.Unlock()
+	return s.slot, s.processLock != nil
+}
+
+// retryLock tries to lock a slot if none could be locked so far.
+func (s *stateFile) retryLock() {
+	slot, locked := s.ownSlot()
+	if !s.shared || locked {
+		return
+	}
+	if locked, _ = s.lockSlot((slot + 1) % maxProcesses); locked { // an error was logged before
+		slog.Info("orders: other processes see this one now")
+	}
 }
 
 // processLockPath returns the lock file of a slot.
@@ -127,6 +156,8 @@
 
 // close releases the slot of this process.
 func (s *stateFile) close() {
+	s.slotMu.Lock()
+	defer s.slotMu.Unlock()
 	if s.processLock != nil {
 		s.processLock.Close()
 	}
@@ -148,8 +179,9 @@
 
 // alone reports whether no other process of this balancer is running.
 func (s *stateFile) alone() bool {
+	own, locked := s.ownSlot()
 	for slot := range maxProcesses {
-		if !s.shared || slot == s.slot {
+		if !s.shared || locked && slot == own {
 			continue
 		}
 		f, err := tryLock(s.processLockPath(slot))
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -83,10 +83,7 @@
 // openTestStateFile opens the state file of balancer n/0 in dir, for a process that others may run beside.
 func openTestStateFile(t *testing.T, dir string) *stateFile {
 	t.Helper()
-	state, err := openStateFile(&Config{Name: "n/0", StateDir: dir, InheritedFD: 4})
-	if err != nil {
-		t.Fatal(err)
-	}
+	state := openStateFile(&Config{Name: "n/0", StateDir: dir, InheritedFD: 4})
 	t.Cleanup(state.close)
 	return state
 }
@@ -314,3 +311,23 @@
 	}
 	b.runResult <- nil
 }
+
+// TestStartWithFailingFolder guards against a process that does not start, or is never seen by others, because its folder
+// takes no writes at its start.
+func TestStartWithFailingFolder(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "full") // does not exist yet, so that no file can be created in it
+	state := openTestStateFile(t, dir)
+	if err := state.update(t.Context(), func(o *operatorOrders) { o.OutOfService = true }); err == nil {
+		t.Error("got an order that cannot be stored taken on, want an error")
+	}
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	other := openTestStateFile(t, dir)
+	want(t, "other process alone before this one is seen", other.alone(), true)
+	for range maxProcesses {
+		state.retryLock()
+	}
+	want(t, "other process alone", other.alone(), false)
+	want(t, "this process alone", state.alone(), false)
+}
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -228,6 +228,7 @@
 	defer ticker.Stop()
 	sharing, acceptPending := false, true
 	for {
+		s.state.retryLock()
 		if s.state.refresh() {
 			if err := s.applyOrders(ctx); err != nil && ctx.Err() == nil {
 				slog.Error("applying the orders of the other process failed", "err", err)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -26,9 +26,7 @@
 	var state *stateFile
 	var savedOrders operatorOrders
 	if adminListener != nil { // without an admin listener there are no orders to keep
-		if state, err = openStateFile(&c); err != nil {
-			return err
-		}
+		state = openStateFile(&c)
 		defer state.close()
 		savedOrders = *state.current.Load()
 		if state.shared {
