--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -218,6 +218,21 @@
 	return r
 }
 
+// startRequest sends a request on another goroutine. The channel gets the status of the response, or 0 if there is none.
+func (b *testBalancer) startRequest(r *http.Request) <-chan int {
+	status := make(chan int, 1)
+	go func() {
+		resp, err := b.client.Do(r)
+		if err != nil {
+			status <- 0
+			return
+		}
+		resp.Body.Close()
+		status <- resp.StatusCode
+	}()
+	return status
+}
+
 // do sends a request and returns the status and the body of the response.
 func (b *testBalancer) do(t *testing.T, r *http.Request) (int, string) {
 	t.Helper()
@@ -897,16 +912,7 @@
 		t.Fatal(err)
 	}
 	defer unused.Close()
-	status := make(chan int, 1)
-	go func() {
-		resp, err := b.client.Do(b.newRequest("checkin", ""))
-		if err != nil {
-			status <- 0
-			return
-		}
-		resp.Body.Close()
-		status <- resp.StatusCode
-	}()
+	status := b.startRequest(b.newRequest("checkin", ""))
 	<-upstream.received
 	b.cancel()
 	if _, err := unused.Read(make([]byte, 1)); err == nil {
@@ -1008,20 +1014,7 @@
 		return respondOK(c, r)
 	})
 	b := startBalancer(t, upMember("s-00000001", upstream))
-	type outcome struct {
-		status int
-		err    error
-	}
-	lateResult := make(chan outcome, 1)
-	go func() {
-		resp, err := b.client.Do(b.newRequest("checkin", "", "X-Late", "1"))
-		if err != nil {
-			lateResult <- outcome{err: err}
-			return
-		}
-		resp.Body.Close()
-		lateResult <- outcome{resp.StatusCode, nil}
-	}()
+	lateStatus := b.startRequest(b.newRequest("checkin", "", "X-Late", "1"))
 	<-upstream.received
 	b.cancel()
 	for { // on new connections, until the shutdown has begun
@@ -1037,9 +1030,7 @@
 		}
 	}
 	close(release)
-	if result := <-lateResult; result.err != nil || result.status != 200 {
-		t.Errorf("request in flight: got status %v, error %v, want 200", result.status, result.err)
-	}
+	want(t, "status of the request in flight", <-lateStatus, 200)
 	if err := <-b.runResult; err != nil {
 		t.Error(err)
 	}
@@ -1064,16 +1055,7 @@
 	release := make(chan struct{})
 	upstream := newTestUpstream(t, func(c net.Conn, r *http.Request) bool { <-release; return respondOK(c, r) })
 	b := startBalancer(t, upMember("s-00000001", upstream))
-	status := make(chan int, 1)
-	go func() {
-		resp, err := b.client.Do(b.newRequest("checkin", ""))
-		if err != nil {
-			status <- 0
-			return
-		}
-		resp.Body.Close()
-		status <- resp.StatusCode
-	}()
+	status := b.startRequest(b.newRequest("checkin", ""))
 	<-upstream.received
 	newDiscovery := newManualDiscovery(t)
 	c := b.config
