Log a series of failed accepts once, and count them

The terms: accept may fail for a moment (ECONNABORTED, ENFILE, ENOBUFS). The frontend goes on, as before, but wrote a line for each failure, 200 a second. It writes one for a series; the line of counts has their number.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -86,15 +86,20 @@
 	f.mu.Lock()
 	f.accepting = true
 	f.mu.Unlock()
-	for {
+	for failing := false; ; {
 		c, err := f.listener.Accept()
 		switch {
 		case err == nil:
+			failing = false
 			f.startClient(c)
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		default: // out of descriptors, or a connection that broke in the accept queue: keep accepting
-			slog.Warn("accepting a client connection failed", "err", err)
+			if !failing {
+				slog.Warn("accepting client connections fails", "err", err)
+			}
+			failing = true
+			f.traffic.count(acceptFailed, "")
 			f.makeRoom()
 			time.Sleep(newClientGracePeriod / 10)
 		}
--- a/internal/proxy/traffic_log.go
+++ b/internal/proxy/traffic_log.go
@@ -25,6 +25,7 @@
 	clientEvicted                             // its connection was closed between requests, or before one was complete
 	attemptRetried                            // a further attempt was begun
 	attemptNotConnected                       // no connection to an upstream was available
+	acceptFailed                              // a client's connection could not be accepted
 	trafficReasons                            // number of reasons
 )
 
@@ -38,6 +39,7 @@
 	clientEvicted:        "client connections evicted",
 	attemptRetried:       "further attempts",
 	attemptNotConnected:  "attempts without a connection",
+	acceptFailed:         "failed accepts",
 }
 
 // trafficLog counts by reason since the last line. Any goroutine may count.
