Warm a restarted upstream up from now where its start contradicts the last list

Started on a machine whose clock was an hour ahead, it took a restarted upstream for warm and would have sent it full load; on one an hour behind, it kept it cold for an hour.

A start that lies in the future, or that of a known upstream which lies more than 6 s before the last list, shows that the clocks differ: the warm-up counts from the moment in which it is told. With a right clock nothing changes, but for a restart that is told over 6 s late. TestRestartIsColdWhateverTheClock fails before: cold for 0 s and for 1 h 7 s where 9 s are wanted. A server that is listed for the first time, with a clock that is ahead, still counts as old: nothing at hand tells.

--- a/discovery.go
+++ b/discovery.go
@@ -47,6 +47,9 @@
 		listed[entry.ID] = true
 		b.applyEntry(entry.sanitised(), now)
 	}
+	if mode != ListCached {
+		b.lastListAt = now
+	}
 	for _, u := range b.upstreams {
 		if mode != ListDelta && !listed[u.ID] {
 			u.State = Removed
@@ -94,10 +97,10 @@
 
 // applyEntry applies one list entry, and adds an upstream for it if there is none.
 func (b *Balancer) applyEntry(entry Upstream, now time.Duration) {
-	u := b.byID[entry.ID]
-	if u == nil && entry.State == Removed {
+	u, known := b.byID[entry.ID]
+	if !known && entry.State == Removed {
 		return
-	} else if u == nil {
+	} else if !known {
 		u = &upstream{weight: entry.Weight, shareFactor: 1, maxLimit: initialFleetLimit, backoff: b.tickInterval,
 			coldLevelAt: now, lastAnswerAt: now,
 			limitCutAt: now, pausedUntil: now, ringHash: hashID(uint64(entry.ID))}
@@ -105,8 +108,8 @@
 	}
 	if entry.StartedAt > max(u.StartedAt, u.maintenanceEndedAt) { // new, or restarted under the same id
 		u.unresponsive, u.pausedUntil = false, now
-		if now-entry.StartedAt < b.config.Requirements.WarmupTime {
-			b.markCold(u, entry.StartedAt)
+		if since := b.startedSince(entry, known, now); now-since < b.config.Requirements.WarmupTime {
+			b.markCold(u, since)
 			u.coldLevel, u.coldLevelAt = b.rng.Float64(), now // random, so that balancers do not all send at once
 		}
 	}
@@ -117,6 +120,17 @@
 	u.weight = max(entry.Weight, math.SmallestNonzeroFloat32)
 }
 
+// startedSince returns the time from which the warm-up of an upstream counts whose entry tells a new start. That is its
+// start, unless the owner's clock was set differently from discovery's: a start lies not in the future, and that of a
+// known upstream not long before the last list, which did not have it yet. Then the warm-up counts from now on.
+func (b *Balancer) startedSince(entry Upstream, known bool, now time.Duration) time.Duration {
+	restarted := known && b.lastListAt > 0
+	if entry.StartedAt > now || restarted && entry.StartedAt < b.lastListAt-maxNotifyDelay {
+		return now
+	}
+	return entry.StartedAt
+}
+
 // countRejections counts consecutive rejections by u. If there are several while the list is unconfirmed, u
 // is presumed to drain and left out for presumedDrainTime.
 func (b *Balancer) countRejections(u *upstream, status Status, now time.Duration) {
--- a/slowstart_test.go
+++ b/slowstart_test.go
@@ -206,3 +206,39 @@
 			seed, sent, c.coldUpstreams, warmupCapacity)
 	}
 }
+
+// TestRestartIsColdWhateverTheClock guards against a restarted upstream that counts as warm, or as cold for an hour, because
+// the wall clock of the balancer's machine had been set before the balancer was started.
+func TestRestartIsColdWhateverTheClock(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		clockError  time.Duration // of the balancer's clock
+		age         time.Duration // of the restart, when it is told
+		wantColdFor time.Duration
+	}{
+		{"right", 0, 2 * time.Second, 7 * time.Second},
+		{"an hour ahead", time.Hour, 2 * time.Second, 9 * time.Second},
+		{"an hour behind", -time.Hour, 2 * time.Second, 9 * time.Second},
+		{"right, and told late", 0, 20 * time.Second, 0},
+	} {
+		list := fleet(2)
+		list[0].StartedAt = time.Minute
+		b, _ := start(t, settings(), list)
+		now := 2 * time.Hour
+		b.Members(now-tt.age, ListFull, list)
+		list[0].StartedAt = now - tt.age - tt.clockError
+		if tt.wantColdFor == 0 { // no list could be had since the restart
+			list[0].StartedAt -= time.Second
+			b.lastListAt = now - time.Minute
+		}
+		b.Members(now, ListDelta, list[:1])
+		u := b.byID[1]
+		coldFor := time.Duration(0)
+		for at := now; b.warmupFraction(u, at) < 1; at += time.Second {
+			coldFor += time.Second
+		}
+		if coldFor != tt.wantColdFor {
+			t.Errorf("clock %s: got it cold for %v, want %v", tt.name, coldFor, tt.wantColdFor)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -192,6 +192,7 @@
 	// Times. discoveryBackoff is the wait after a failed call of discovery; lastLogged is by kind of log line.
 	tickInterval, periodStart, discoveryBackoff time.Duration
 	discoveryCalledAt                           time.Duration // start of the last call, or time of the last list
+	lastListAt                                  time.Duration // when discovery last sent a list or changes; 0: never
 	lastQueuedAt                                time.Duration // when a request was last queued; at first, the start
 	lastLogged                                  map[string]time.Duration
 }
