--- a/internal/scale/crowd.go
+++ b/internal/scale/crowd.go
@@ -23,6 +23,8 @@
 	crowdPiecePause   = 250 * time.Millisecond // between two pieces: 64 kB a second
 	crowdArrivalTime  = 2 * time.Second        // in which the clients of a crowd first connect
 	crowdStallTime    = 10 * time.Second       // for which a client that reads nothing keeps its connection
+	crowdTinyChunks   = 2 << 10                // chunks of one byte that a client writes at a time
+	crowdPipeline     = 200                    // requests that a client writes at once
 )
 
 // crowdBodySizeHeader is the header by which a request of a crowd tells its upstream the size of the response's body.
@@ -48,6 +50,9 @@
 		{"slow readers", readSlowly},
 		{"stopped readers", readNothing},
 		{"silent clients", sendNothing},
+		{"tiny chunks", uploadTinyChunks},
+		{"unread pipelines", pipeline},
+		{"leavers", leave},
 	}
 }
 
@@ -179,3 +184,30 @@
 
 // sendNothing writes nothing.
 func sendNothing(ctx context.Context, c net.Conn, id string) { io.Copy(io.Discard, c) }
+
+// uploadTinyChunks uploads a body in chunks of one byte, some at a time.
+func uploadTinyChunks(ctx context.Context, c net.Conn, id string) {
+	io.WriteString(c, requestHead(soakRequestClasses[1], id, "Transfer-Encoding: chunked\r\n"))
+	chunks := strings.Repeat("1\r\nb\r\n", crowdTinyChunks)
+	for ctx.Err() == nil {
+		if _, err := io.WriteString(c, chunks); err != nil {
+			return
+		}
+		sleepUntilDone(ctx, crowdPiecePause)
+	}
+}
+
+// pipeline writes many requests at once, and reads nothing.
+func pipeline(ctx context.Context, c net.Conn, id string) {
+	var requests strings.Builder
+	for i := range crowdPipeline {
+		requests.WriteString(requestHead(soakRequestClasses[0], fmt.Sprintf("%s-%d", id, i), ""))
+	}
+	io.WriteString(c, requests.String())
+	sleepUntilDone(ctx, crowdStallTime)
+}
+
+// leave writes a request and closes the connection at once.
+func leave(_ context.Context, c net.Conn, id string) {
+	io.WriteString(c, longResponseHead(id, crowdLongBody))
+}
