--- a/capacity.go
+++ b/capacity.go
@@ -13,11 +13,13 @@
 // Capacity is what one process may use at once, so that a crowd of clients takes it neither over its memory limit nor to
 // a state in which the garbage collector leaves no time for requests.
 type Capacity struct {
-	ClientConns     int
-	UpstreamConns   int
-	BodyBytes       int64 // of buffers of bodies
-	HeadBytes       int64 // of buffers of heads that are too large to be counted with their connection
-	CollectorTarget int64 // memory of the Go runtime, in bytes, above which garbage is collected at any cost
+	ClientConns   int
+	UpstreamConns int
+	BodyBytes     int64 // of buffers of bodies
+	HeadBytes     int64 // of buffers of heads that are too large to be counted with their connection
+	// Memory of the Go runtime, in bytes, above which garbage is collected at any cost: at most, and while little is in use.
+	MaxCollectorTarget  int64
+	CalmCollectorTarget int64
 }
 
 // Shares of a process's memory.
@@ -26,7 +28,9 @@
 	// are larger where there are several.
 	collectorShareAlone  = 3.0 / 4
 	collectorShareShared = 7.0 / 8
-	// inUseShare is the largest part of the collector's target that is in use. The rest is for garbage: where there is
+	// calmCollectorShare applies while little is in use: memory over half of the limit is priced.
+	calmCollectorShare = 0.6
+	// inUseShare is the largest part of the collector's largest target that is in use. The rest is for garbage: where there is
 	// no room for it, each collection is followed by another.
 	inUseShare        = 0.7
 	maxBufferShare    = 3.0 / 8  // of the memory, for buffers
@@ -60,7 +64,7 @@
 	if l.Processes > 1 {
 		collectorShare = collectorShareShared
 	}
-	c.CollectorTarget = int64(memory * collectorShare)
+	c.MaxCollectorTarget, c.CalmCollectorTarget = int64(memory*collectorShare), int64(memory*calmCollectorShare)
 	available := memory*collectorShare*inUseShare - idleProcessMemory
 	minBuffers := memory * minBufferShare
 	if fraction := max(0, available-minBuffers) / c.connMemory(); fraction < 1 {
@@ -77,3 +81,11 @@
 func (c Capacity) connMemory() float64 {
 	return float64(c.ClientConns*clientConnMemory + c.UpstreamConns*upstreamConnMemory)
 }
+
+// CollectorTarget returns the collector's target while the given number of bytes is in use without garbage.
+func (c Capacity) CollectorTarget(inUse int64) int64 {
+	if float64(inUse) <= inUseShare*float64(c.CalmCollectorTarget) {
+		return c.CalmCollectorTarget
+	}
+	return c.MaxCollectorTarget
+}
--- a/capacity_test.go
+++ b/capacity_test.go
@@ -20,10 +20,10 @@
 			for processes := 1; processes <= 2; processes++ {
 				c := ProcessLimits{Memory: memoryMB * mib, Sockets: sockets, Processes: processes}.Capacity()
 				name := fmt.Sprintf("%d MiB, %d sockets, %d processes", memoryMB, sockets, processes)
-				if limit := float64(c.CollectorTarget) * inUseShare; float64(c.inUse()) > limit+1 {
+				if limit := float64(c.MaxCollectorTarget) * inUseShare; float64(c.inUse()) > limit+1 {
 					t.Errorf("%s: got %d bytes in use, want at most %.0f: %+v", name, c.inUse(), limit, c)
 				}
-				if all := c.CollectorTarget * int64(processes); all > memoryMB*mib*7/8 {
+				if all := c.MaxCollectorTarget * int64(processes); all > memoryMB*mib*7/8 {
 					t.Errorf("%s: got a target of %d bytes in all, want an eighth of the memory beside it", name, all)
 				}
 				if (c.ClientConns+c.UpstreamConns)*processes >= sockets {
@@ -41,8 +41,23 @@
 // bears all that the descriptors allow.
 func TestCapacityFollowsDescriptorsWhereMemoryIsAmple(t *testing.T) {
 	got := ProcessLimits{Memory: 192 * mib, Sockets: 1024, AdminSockets: 9, Processes: 1}.Capacity()
-	want := Capacity{ClientConns: 610, UpstreamConns: 341, BodyBytes: 48 * mib, HeadBytes: 24 * mib, CollectorTarget: 144 * mib}
+	want := Capacity{ClientConns: 610, UpstreamConns: 341, BodyBytes: 48 * mib, HeadBytes: 24 * mib,
+		MaxCollectorTarget: 144 * mib, CalmCollectorTarget: 192 * mib * 6 / 10}
 	if got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+// TestCollectorTargetFollowsUse guards against memory over half of the limit while little is in use, and against a target
+// without room for garbage while much is.
+func TestCollectorTargetFollowsUse(t *testing.T) {
+	c := ProcessLimits{Memory: 32 * mib, Sockets: 1024, Processes: 1}.Capacity()
+	if got := c.CollectorTarget(idleProcessMemory); got != c.CalmCollectorTarget || got >= 20*mib {
+		t.Errorf("idle: got a target of %d bytes, want %d", got, c.CalmCollectorTarget)
+	}
+	for inUse := int64(idleProcessMemory); inUse <= c.inUse(); inUse += mib / 4 {
+		if got := float64(c.CollectorTarget(inUse)) * inUseShare; float64(inUse) > got+1 {
+			t.Errorf("%d bytes in use: got a target with room for %.0f, want room for garbage beside them", inUse, got)
+		}
+	}
+}
--- a/cmd/olivearch/main.go
+++ b/cmd/olivearch/main.go
@@ -13,7 +13,6 @@
 	"runtime/debug"
 	"syscall"
 
-	"garnettide"
 	"garnettide/internal/proxy"
 )
 
@@ -39,8 +38,8 @@
 	// allows.
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(config.Capacity(1).CollectorTarget)
-	config.OnCapacity = func(c garnettide.Capacity) { debug.SetMemoryLimit(c.CollectorTarget) }
+	debug.SetMemoryLimit(config.Capacity(1).CollectorTarget(0))
+	config.OnCollectorTarget = func(bytes int64) { debug.SetMemoryLimit(bytes) }
 	name := config.Name // copied, so that config and its plan can be freed
 	slog.Info("starting", "name", name, "listen", config.Listen, "known", len(config.CachedList.Members),
 		"configuration", config.Hash)
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -38,9 +38,9 @@
 	// OnConfigApplied, if set, is called on the loop when a reloaded configuration is in force, with its hash
 	// and the time since its signal.
 	OnConfigApplied func(hash string, took time.Duration)
-	// OnCapacity, if set, is called when another process of this balancer starts or stops running beside this
-	// one, with what this one may use then.
-	OnCapacity func(garnettide.Capacity)
+	// OnCollectorTarget, if set, is called on the loop when the memory above which garbage is to be collected at any
+	// cost changes, with that memory in bytes.
+	OnCollectorTarget func(bytes int64)
 	// OnListApplied, if set, is called on the loop after each list from discovery, with its revision. It must
 	// not block.
 	OnListApplied func(revision uint64)
--- a/internal/proxy/conn_pool.go
+++ b/internal/proxy/conn_pool.go
@@ -74,6 +74,12 @@
 	}
 }
 
+// setCapacity sets what the loop may use.
+func (l *loop) setCapacity(c garnettide.Capacity) {
+	l.capacity = c
+	l.setConnLimit(c.UpstreamConns)
+}
+
 // setConnLimit sets the limit of connections to upstreams, and closes idle ones above it.
 func (l *loop) setConnLimit(limit int) {
 	l.maxConns = limit
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -32,6 +32,9 @@
 	memoryLog           memoryLog
 	traffic             trafficLog
 	transfersRefused    atomic.Bool // the Balancer admits no further streamed request
+	capacity            garnettide.Capacity
+	collectorTarget     int64             // in force, in bytes
+	onCollectorTarget   func(bytes int64) // may be nil
 	settings            garnettide.Settings
 	upstreamIdleTimeout time.Duration
 	maxConns            int                   // limit of connCount
@@ -52,6 +55,7 @@
 	connCount       int              // connections to upstreams, open or being opened
 	pendingOutcomes []pendingOutcome // collected because methods of Host must not call the Balancer
 	nextIdleSweep   time.Duration
+	nextMemoryCheck time.Duration
 }
 
 func newLoop(ctx context.Context, c *Config) *loop {
@@ -65,7 +69,8 @@
 		upstreamIDs: newUpstreamIDs(), requests: map[garnettide.RequestID]*request{}, openIDs: map[string]bool{}, requestIDs: &requestIDTable{},
 		uptime:    readUptime,
 		upstreams: map[garnettide.UpstreamID]*upstream{}, inMaintenance: map[string]garnettide.UpstreamID{},
-		recentIDs: newRecentIDs(), onListApplied: c.OnListApplied}
+		recentIDs: newRecentIDs(), onListApplied: c.OnListApplied, capacity: capacity, collectorTarget: capacity.CollectorTarget(0),
+		onCollectorTarget: c.OnCollectorTarget}
 	// The clock starts at Unix time, so that discovery's timestamps can be compared with it, and advances with
 	// the monotonic clock, so that it is not affected when the system clock is set.
 	l.clockBase = time.Duration(l.startTime.UnixNano())
--- a/internal/proxy/memory_log.go
+++ b/internal/proxy/memory_log.go
@@ -47,6 +47,23 @@
 		collections: samples[6].Value.Uint64(), collectorCPU: samples[7].Value.Float64()}
 }
 
+// withoutGarbage returns the memory in use but for objects that have come since the last collection.
+func (u memoryUsage) withoutGarbage() int64 {
+	return int64(u.inUse) - max(0, int64(u.objects)-int64(u.live))
+}
+
+// setCollectorTarget chooses the collector's target by the memory in use.
+func (l *loop) setCollectorTarget(usage memoryUsage) {
+	target := l.capacity.CollectorTarget(usage.withoutGarbage())
+	if target == l.collectorTarget {
+		return
+	}
+	l.collectorTarget = target
+	if l.onCollectorTarget != nil {
+		l.onCollectorTarget(target)
+	}
+}
+
 // memoryLog tells when memory in use comes near the limit or the collector becomes busy, how that goes on, and its end.
 type memoryLog struct {
 	limit    uint64 // in bytes
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -293,3 +293,18 @@
 	memory.free(buffered)
 	want(t, "available memory after a large body", memory.available.Load(), int64(0))
 }
+
+// TestCollectorTargetIsSetByUse guards against a target of the collector that stays low while much is in use, and against
+// setting it again and again.
+func TestCollectorTargetIsSetByUse(t *testing.T) {
+	h := newLoopHarness(t)
+	h.setCapacity((&Config{MemoryMB: leastMemoryMB, Sockets: manyDescriptors}).Capacity(1))
+	h.collectorTarget = h.capacity.CalmCollectorTarget
+	var targets []int64
+	h.onCollectorTarget = func(bytes int64) { targets = append(targets, bytes) }
+	for _, inUseMB := range []uint64{6, 20, 21, 6, 7} {
+		garbage := uint64(5 << 20)
+		h.setCollectorTarget(memoryUsage{inUse: inUseMB<<20 + garbage, live: 3 << 20, objects: 3<<20 + garbage})
+	}
+	want(t, "targets", fmt.Sprint(targets), fmt.Sprint([]int64{h.capacity.MaxCollectorTarget, h.capacity.CalmCollectorTarget}))
+}
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -266,13 +266,10 @@
 	s.loop.memory.setLimit(capacity.BodyBytes)
 	s.loop.headMemory.setLimit(capacity.HeadBytes)
 	if err := s.runOnLoop(ctx, func(l *loop) {
-		l.setConnLimit(capacity.UpstreamConns)
+		l.setCapacity(capacity)
 	}); err != nil && ctx.Err() == nil {
 		slog.Error("dividing the descriptor limit failed", "err", err)
 	}
-	if c.OnCapacity != nil {
-		c.OnCapacity(capacity)
-	}
 }
 
 // serve serves calls until stop is called.
--- a/internal/proxy/timers.go
+++ b/internal/proxy/timers.go
@@ -9,9 +9,12 @@
 
 // This file holds the timers of the loop.
 
-// idleSweepInterval is the time between two checks for expired idle connections, and of the memory in use.
+// idleSweepInterval is the time between two checks for expired idle connections, and for news of memory.
 const idleSweepInterval = time.Second
 
+// memoryCheckInterval is the time between two choices of the collector's target.
+const memoryCheckInterval = 100 * time.Millisecond
+
 // loopTimer is the timeout of an attempt, the deadline of a request or a timer of the Balancer. It names its request by
 // ID, so that it keeps no ended request in memory.
 type loopTimer struct {
@@ -59,7 +62,12 @@
 		l.reportPending()
 		l.updateAdmission()
 	}
-	if now := l.now(); now >= l.nextIdleSweep {
+	now := l.now()
+	if now >= l.nextMemoryCheck {
+		l.nextMemoryCheck = now + memoryCheckInterval
+		l.setCollectorTarget(readMemoryUsage())
+	}
+	if now >= l.nextIdleSweep {
 		l.nextIdleSweep = now + idleSweepInterval
 		l.closeExpiredIdle(now)
 		l.logMemory(now, readMemoryUsage())
