--- a/internal/proxy/head_test.go
+++ b/internal/proxy/head_test.go
@@ -80,7 +80,10 @@
 					go discardInput(c)
 				}
 				synctest.Wait()
-				want(t, "requests at upstreams", b.requestsStarted(), responses)
+				if n := b.requestsStarted(); n != responses {
+					t.Errorf("requests at upstreams: got %d, want %d", n, responses)
+					b.runOnLoop(func(l *loop) { t.Log(l.describeRequests()) })
+				}
 				checkMemory(t, littleMemoryMB)
 				for _, c := range conns {
 					c.Close()
@@ -245,3 +248,19 @@
 		}
 	}
 }
+
+// describeRequests describes the open requests that are not at an upstream, and what has ended without a response.
+func (l *loop) describeRequests() string {
+	text := fmt.Sprintf("%d requests, %d of %d connections; %s", len(l.requests), l.connCount, l.maxConns, l.traffic.line(l.traffic.nextLine))
+	for _, r := range l.requests {
+		if len(r.attempts) == 0 {
+			text += fmt.Sprintf("\nrequest %s: no attempt", r.clientRequestID)
+		}
+		for _, a := range r.attempts {
+			if stage := a.stage.Load(); stage != attemptWritten {
+				text += fmt.Sprintf("\nrequest %s: attempt %d at %s in stage %d", r.clientRequestID, a.index, a.address, stage)
+			}
+		}
+	}
+	return text
+}
