Do not take long responses whose clients have left for failures of their upstream

Cause: an attempt whose client has left goes on to the head of its response, where the loop says that the response is not wanted. The attempt then ended as Reset, for which the module pauses the upstream and doubles the pause up to the warm-up time. Some tens of such clients paused all upstreams. Clients that close while the upstream works show it each time.

Change: the attempt ends as OK, which is what the upstream did; its connection is closed as before.

--- a/internal/proxy/client_test.go
+++ b/internal/proxy/client_test.go
@@ -192,3 +192,35 @@
 		t.Errorf("got the response to the next client after %v, want it at once", took)
 	}
 }
+
+// TestClientsThatLeaveDoNotPauseUpstreams guards against taking long responses whose clients have left for failures of
+// their upstream, which would then get no requests of other clients.
+func TestClientsThatLeaveDoNotPauseUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const leavers, upstreamTime = 8, 5 * time.Millisecond
+		b := newMemBalancer(t, newEmptyPipe(t), dialBlocked, func(*Config, *garnettide.Settings) {})
+		close(b.connectGate)
+		b.sendList(50, b.addUpstream(func(c net.Conn, _ *http.Request) bool {
+			time.Sleep(upstreamTime)
+			return writeOK(c, string(numberedBytes(2*maxBufferedBody)))
+		}).member("s-00000001"))
+		for i := range leavers {
+			c := b.connectClient()
+			writeEmptyCheckin(c, fmt.Sprintf("leaver-%d", i))
+			time.Sleep(upstreamTime / 2)
+			c.Close()
+			time.Sleep(upstreamTime)
+		}
+		c := b.connectClient()
+		begin := time.Now()
+		writeEmptyCheckin(c, "ordinary")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want(t, "status", resp.StatusCode, http.StatusOK)
+		want(t, "time to the response", time.Since(begin), upstreamTime)
+		c.Close()
+		b.expireAndStop()
+	})
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -351,7 +351,11 @@
 		stream := &responseStream{upstreamResponse: resp, conn: c, buffered: body, memory: t.memory, done: make(chan error, 1)}
 		t.onStreamStart(a, stream, result.load)
 		err := <-stream.done
-		if stream.freeBuffered(); err != nil { // if no part of it has been written
+		stream.freeBuffered() // if no part of it has been written
+		if errors.Is(err, errResponseUnwanted) {
+			c.Close()
+			return result // the upstream has not failed
+		} else if err != nil {
 			c.Close()
 			return attemptResult{status: garnettide.Reset}
 		}
--- a/internal/scale/crowd.go
+++ b/internal/scale/crowd.go
@@ -25,6 +25,7 @@
 	crowdStallTime    = 10 * time.Second       // for which a client that reads nothing keeps its connection
 	crowdTinyChunks   = 2 << 10                // chunks of one byte that a client writes at a time
 	crowdPipeline     = 200                    // requests that a client writes at once
+	crowdLeaveDelay   = soakUpstreamTime / 2   // behind a request: an upstream has it, and has not responded
 )
 
 // crowdBodySizeHeader is the header by which a request of a crowd tells its upstream the size of the response's body.
@@ -53,6 +54,7 @@
 		{"tiny chunks", uploadTinyChunks},
 		{"unread pipelines", pipeline},
 		{"leavers", leave},
+		{"leavers behind a sent request", leaveLater},
 	}
 }
 
@@ -211,3 +213,9 @@
 func leave(_ context.Context, c net.Conn, id string) {
 	io.WriteString(c, longResponseHead(id, crowdLongBody))
 }
+
+// leaveLater writes a request and closes the connection while an upstream works on the response.
+func leaveLater(ctx context.Context, c net.Conn, id string) {
+	leave(ctx, c, id)
+	sleepUntilDone(ctx, crowdLeaveDelay)
+}
