Pause an upstream once for attempts whose connections fail together

Callers saw 503 for seconds behind one event that broke many connections to the upstreams.

Cause: each failed attempt doubles the pause of its upstream. Attempts in flight together, such as the uploads that an upstream has when it restarts, count as so many failures in a row: twelve pause it for the whole warm-up time, and an answer in between does not end that.

Change: an attempt that was sent before the last failure counted adds nothing, as for cuts of the concurrency limit. Failures in a row double the pause as before.

Measured: TestAttemptsThatFailTogetherPauseUpstreamOnce: twelve attempts 9 s before, 18.75 ms after.

--- a/balancer.go
+++ b/balancer.go
@@ -267,10 +267,7 @@
 	case Rejected, Timeout:
 		b.cutLimit(u, now, limitCutFactor*limitCutFactor)
 	case ConnectFailed, Reset: // down or out of connections: send less often
-		if !u.unresponsive { // otherwise nextTrialAt spaces the trials
-			u.pausedUntil = now + u.backoff
-			u.backoff = min(u.backoff*backoffGrowth, b.config.Requirements.WarmupTime)
-		}
+		b.pauseAfterFailure(a, now)
 	}
 	p := b.pause(u) // arrivals are random: an upstream that was idle for long may take one without a pause
 	u.pausedUntil = max(u.pausedUntil, min(now, max(u.pausedUntil, a.sentAt-p)+now-a.sentAt)+p)
@@ -279,6 +276,17 @@
 	}
 }
 
+// pauseAfterFailure pauses the upstream of an attempt whose connection has failed. Attempts that were in
+// flight together pause it once.
+func (b *Balancer) pauseAfterFailure(a *attempt, now time.Duration) {
+	u := a.up
+	if u.unresponsive || a.sentAt < u.failedAt { // nextTrialAt spaces the trials of unresponsive ones
+		return
+	}
+	u.failedAt, u.pausedUntil = now, now+u.backoff
+	u.backoff = min(u.backoff*backoffGrowth, b.config.Requirements.WarmupTime)
+}
+
 // pause returns the wait between attempts at u when its limit is below one.
 func (b *Balancer) pause(u *upstream) time.Duration {
 	return time.Duration(max(0, 1/u.limit-1) * cmp.Or(u.latency, b.latency))
--- a/requests_test.go
+++ b/requests_test.go
@@ -655,3 +655,32 @@
 		t.Errorf("got traffic share %.2f 1 s after the other balancer returned, want at least 0.8", b.trafficShare)
 	}
 }
+
+// TestAttemptsThatFailTogetherPauseUpstreamOnce guards against one event, which breaks all connections to an upstream,
+// keeping the upstream from requests for as long as many failures in a row would.
+func TestAttemptsThatFailTogetherPauseUpstreamOnce(t *testing.T) {
+	const uploads = 12
+	now := time.Hour
+	b, h := start(t, settings(), fleet(1))
+	for id := RequestID(1); id <= uploads; id++ { // uploads take none of the upstream's slots
+		b.Request(now, Request{ID: id, Class: "write", Budget: time.Second, Streaming: true})
+	}
+	if n := h.count("send"); n != uploads {
+		t.Fatalf("got %d uploads sent, want %d", n, uploads)
+	}
+	for id := RequestID(1); id <= uploads; id++ {
+		now += ms
+		b.Outcome(now, Outcome{ID: id, Upstream: 1, Latency: ms, Status: Reset, RequestDone: true})
+	}
+	if paused := b.upstreams[0].pausedUntil - now; paused > b.tickInterval {
+		t.Errorf("got a pause of %v, want at most %v", paused, b.tickInterval)
+	}
+	for id := RequestID(101); id <= 103; id++ { // failures in a row, one after each pause
+		now = b.upstreams[0].pausedUntil
+		b.Request(now, Request{ID: id, Class: "write", Budget: time.Second})
+		b.Outcome(now, Outcome{ID: id, Upstream: 1, Status: Reset, RequestDone: true})
+	}
+	if paused := b.upstreams[0].pausedUntil - now; paused != 8*b.tickInterval {
+		t.Errorf("after failures in a row: got a pause of %v, want %v", paused, 8*b.tickInterval)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -115,6 +115,7 @@
 	coldSince, nextTrialAt                time.Duration // start of the slow start; next trial while unresponsive
 	lastAnswerAt, limitCutAt, lastProbeAt time.Duration
 	pausedUntil                           time.Duration // gets no requests before
+	failedAt                              time.Duration // time of the last failed connection for which it was paused
 	maintenanceEndedAt                    time.Duration
 	consecutiveRejections                 int
 	presumedDrainingUntil                 time.Duration
