Keep the admin listener over accepts that the system fails for a moment

A balancer's process would end by itself: accept may fail with ENOBUFS, ENOMEM, EPROTO or an error of the network that belongs to one connection, and net/http takes only descriptors and aborted connections for passing errors. Its end of the admin listener ended the process, with all requests in it. Found by reading the users' terms on system calls.

Change: one listener for clients and operators goes on behind errors, logs the first of a series and counts all. That of the clients did so before, in its own loop.

Class: errors that a library takes for final. The other users of net/http here are the client of discovery, whose calls are repeated.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"errors"
 	"log/slog"
 	"net"
 	"sync"
@@ -86,30 +85,23 @@
 	f.mu.Lock()
 	f.accepting = true
 	f.mu.Unlock()
-	for failing := false; ; {
-		c, err := f.listener.Accept()
-		switch {
-		case err == nil:
-			failing = false
-			f.startClient(c)
-		case errors.Is(err, net.ErrClosed):
+	listener := &persistentListener{f.listener, "clients", func() {
+		f.traffic.count(acceptFailed, "")
+		f.makeRoom() // it may be out of descriptors
+	}}
+	for {
+		c, err := listener.Accept()
+		if err != nil { // closed by stop
 			return nil
-		default: // out of descriptors, or a connection that broke in the accept queue: keep accepting
-			if !failing {
-				slog.Warn("accepting client connections fails", "err", err)
-			}
-			failing = true
-			f.traffic.count(acceptFailed, "")
-			f.makeRoom()
-			time.Sleep(newClientGracePeriod / 10)
 		}
+		f.startClient(c)
 	}
 }
 
 // startClient serves a connection on a new goroutine. It waits until there is room for one.
 func (f *frontend) startClient(raw net.Conn) {
 	for !f.makeRoom() {
-		time.Sleep(newClientGracePeriod / 10)
+		time.Sleep(acceptRetryInterval)
 	}
 	timed := newTimedConn(raw)
 	c := &client{httpConn: newHTTPConn(timed, clientReadBuffer), timed: timed, acceptedAt: time.Now(), stageSince: time.Now()}
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -26,6 +26,8 @@
 	return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
 }
 
+func (l *failingListener) Close() error { return nil }
+
 // TestFailedAcceptsAreCounted guards against a frontend that ends when the system cannot accept for a moment, and against a
 // line in the log for each failure.
 func TestFailedAcceptsAreCounted(t *testing.T) {
@@ -38,6 +40,6 @@
 	err := front.serve()
 	slog.SetDefault(previous)
 	want(t, "error", err, nil)
-	want(t, "lines", strings.Count(log.String(), "accepting client connections fails"), 1)
+	want(t, "lines", strings.Count(log.String(), "accepting connections fails"), 1)
 	want(t, "count", h.traffic.line(time.Hour), "since the last count: 6 failed accepts")
 }
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -274,7 +274,8 @@
 
 // serve serves calls until stop is called.
 func (s *adminServer) serve(l net.Listener) error {
-	if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	listener := &persistentListener{l, "operators", func() { s.loop.traffic.count(acceptFailed, "") }}
+	if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serving the admin listener: %w", err)
 	}
 	return nil
--- /dev/null
+++ b/internal/proxy/syscall_errors.go
@@ -0,0 +1,36 @@
+package proxy
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"time"
+)
+
+// This file outlasts failures of system calls that pass by themselves.
+
+// acceptRetryInterval is the time between two tries to accept a connection.
+const acceptRetryInterval = 5 * time.Millisecond
+
+// persistentListener goes on accepting behind errors: the system may be out of descriptors or memory for a moment, and
+// errors of the network that belong to one connection come from accept too.
+type persistentListener struct {
+	net.Listener
+	name      string // in the log
+	onFailure func() // called for each failure
+}
+
+// Accept returns the next connection. It fails only if the listener is closed.
+func (l *persistentListener) Accept() (net.Conn, error) {
+	for first := true; ; first = false {
+		c, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return c, err
+		}
+		if first {
+			slog.Warn("accepting connections fails", "listener", l.name, "err", err)
+		}
+		l.onFailure()
+		time.Sleep(acceptRetryInterval)
+	}
+}
