Repeat system calls of our own that a signal interrupts

EINTR from the read that looks for a client's close passed for a close: the request was dropped without a response, or a kept connection was given up. From fallocate, which may return it, the process went on without the table of request IDs that it shares in an upgrade; from flock a free lock passed for a held one. Found by reading the users' terms on system calls; never seen. The calls of Go's library repeat themselves.

TestInterruptedSystemCallIsRepeated tests the repetition alone; the calls were not made to fail.

--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -170,7 +170,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+	if err := retryInterrupted(func() error { return syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) }); err != nil {
 		f.Close()
 		return nil, nil
 	}
--- a/internal/proxy/request_ids.go
+++ b/internal/proxy/request_ids.go
@@ -89,7 +89,7 @@
 // reserveSpace reserves the space of a file's first bytes. Without it, a write to the file's mapping ends the process while
 // the file system is full. It does nothing where the system or the file system cannot reserve space.
 func reserveSpace(f *os.File, size int64) error {
-	err := syscall.Fallocate(int(f.Fd()), 0, 0, size)
+	err := retryInterrupted(func() error { return syscall.Fallocate(int(f.Fd()), 0, 0, size) })
 	if errors.Is(err, errors.ErrUnsupported) {
 		return nil
 	}
--- a/internal/proxy/syscall_errors.go
+++ b/internal/proxy/syscall_errors.go
@@ -4,6 +4,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"syscall"
 	"time"
 )
 
@@ -12,6 +13,15 @@
 // acceptRetryInterval is the time between two tries to accept a connection.
 const acceptRetryInterval = 5 * time.Millisecond
 
+// retryInterrupted repeats a system call that a signal has interrupted.
+func retryInterrupted(call func() error) error {
+	for {
+		if err := call(); !errors.Is(err, syscall.EINTR) {
+			return err
+		}
+	}
+}
+
 // persistentListener goes on accepting behind errors: the system may be out of descriptors or memory for a moment, and
 // errors of the network that belong to one connection come from accept too.
 type persistentListener struct {
--- a/internal/proxy/syscall_errors_test.go
+++ b/internal/proxy/syscall_errors_test.go
@@ -15,3 +15,15 @@
 		"serving the admin listener: use of closed network connection")
 	want(t, "errors left", len(listener.errs), 0)
 }
+
+// TestInterruptedSystemCallIsRepeated guards against taking an interrupted system call for a failed one.
+func TestInterruptedSystemCallIsRepeated(t *testing.T) {
+	results := []error{syscall.EINTR, syscall.EINTR, syscall.ENOSPC}
+	calls := 0
+	err := retryInterrupted(func() error {
+		calls++
+		return results[calls-1]
+	})
+	want(t, "error", err, error(syscall.ENOSPC))
+	want(t, "calls", calls, 3)
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -70,7 +70,10 @@
 	var readErr error
 	var b [1]byte
 	if err := raw.Read(func(fd uintptr) bool {
-		n, readErr = syscall.Read(int(fd), b[:])
+		readErr = retryInterrupted(func() (err error) {
+			n, err = syscall.Read(int(fd), b[:])
+			return err
+		})
 		return true
 	}); err != nil {
 		return err
