Try again to open a connection where this machine fails to, and not the upstream

A connect may fail for a moment for want of descriptors, memory, ports or a route (EMFILE, ENFILE, ENOBUFS, ENOMEM, EAGAIN, EADDRNOTAVAIL, ENETDOWN, ENETUNREACH). A request used up its three attempts within a millisecond and was refused, and each failure paused an upstream that had nothing to do with it, for twice as long each time. Found by reading the users' terms on system calls.

Change: the attempt tries again each 10 ms, as long as its time for connecting lasts and its request is open. Nothing has been written by then.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -368,7 +368,7 @@
 		return false
 	})
 	transport := upstreamTransport{open: net.DialTimeout, timeout: time.Second, memory: newBodyMemory()}
-	c, err := transport.connect(nil, server.addr)
+	c, err := transport.connect(nil, server.addr, func() bool { return true })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proxy/syscall_errors.go
+++ b/internal/proxy/syscall_errors.go
@@ -4,14 +4,28 @@
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 )
 
 // This file outlasts failures of system calls that pass by themselves.
 
-// acceptRetryInterval is the time between two tries to accept a connection.
-const acceptRetryInterval = 5 * time.Millisecond
+const (
+	acceptRetryInterval = 5 * time.Millisecond  // between two tries to accept a connection
+	dialRetryInterval   = 10 * time.Millisecond // between two tries to open a connection
+)
+
+// localDialErrors are the errors with which opening a connection fails for want of something on this machine: descriptors,
+// memory, ports or a route.
+var localDialErrors = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN,
+	syscall.EADDRNOTAVAIL, syscall.ENETDOWN, syscall.ENETUNREACH}
+
+// isLocalDialError reports whether opening a connection failed through no fault of the other side.
+func isLocalDialError(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && slices.Contains(localDialErrors, errno)
+}
 
 // retryInterrupted repeats a system call that a signal has interrupted.
 func retryInterrupted(call func() error) error {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -182,6 +182,11 @@
 // drop prevents a waiting attempt from being written, and reports whether it did.
 func (a *attempt) drop() bool { return a.stage.CompareAndSwap(attemptWaiting, attemptDropped) }
 
+// isWanted reports whether a waiting attempt may still be written.
+func (a *attempt) isWanted() bool {
+	return a.stage.Load() == attemptWaiting && !a.req.clientGone.Load()
+}
+
 // attemptResult is the result of an attempt or a probe. conn is its connection if it can be reused, or nil.
 type attemptResult struct {
 	status      garnettide.Status
@@ -202,15 +207,15 @@
 	onUploadStart func(*attempt)                                   // called when the rest of a body begins to be streamed
 }
 
-// connect returns the idle connection if it can still be used, or a new one.
-func (t upstreamTransport) connect(idle *conn, address string) (*conn, error) {
+// connect returns the idle connection if it can still be used, or a new one. wanted reports whether it is still needed.
+func (t upstreamTransport) connect(idle *conn, address string, wanted func() bool) (*conn, error) {
 	if idle != nil {
 		if idle.checkIdle() == nil {
 			return idle, nil
 		}
 		idle.Close() // nothing was written on it, so a new connection serves as well
 	}
-	c, err := t.open("tcp", address, t.timeout)
+	c, err := t.dial(address, wanted)
 	if err != nil {
 		return nil, err
 	}
@@ -219,9 +224,21 @@
 	return &conn{httpConn: h}, nil
 }
 
+// dial opens a connection. While it is wanted and the time for it is not over, it tries again after failures that are not
+// the upstream's.
+func (t upstreamTransport) dial(address string, wanted func() bool) (net.Conn, error) {
+	for start := time.Now(); ; time.Sleep(dialRetryInterval) {
+		remaining := t.timeout - time.Since(start)
+		c, err := t.open("tcp", address, remaining)
+		if err == nil || remaining <= dialRetryInterval || !isLocalDialError(err) || !wanted() {
+			return c, err
+		}
+	}
+}
+
 // run makes an attempt. It writes the request at most once.
 func (t upstreamTransport) run(a *attempt) attemptResult {
-	c, err := t.connect(a.conn, a.address)
+	c, err := t.connect(a.conn, a.address, a.isWanted)
 	if err != nil {
 		return attemptResult{status: garnettide.ConnectFailed}
 	}
@@ -409,7 +426,7 @@
 
 // probe requests an upstream's load report, or its health if load is not set.
 func (t upstreamTransport) probe(p *probe) (r attemptResult) {
-	c, err := t.connect(p.conn, p.address)
+	c, err := t.connect(p.conn, p.address, func() bool { return true })
 	if err != nil {
 		return attemptResult{status: garnettide.ConnectFailed}
 	}
