Let a reservation that fails take nothing from the budget, not even for a moment

Callers saw 503 for ordinary requests beside a crowd with large heads, which must not touch them: heads up to 2 KiB take nothing from the budget.

Cause: a reservation subtracted what it wanted, looked, and added it again where that was too much. In between the budget was negative, and on another thread a head that wants nothing, or a buffer for which there was memory, was refused too; a small body became a transfer. Likewise wherever a lowered limit leaves less than is held, until enough is returned.

Change: a compare-and-swap that takes the bytes only if they are there; nothing is always there.

--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -37,13 +37,20 @@
 // reserved returns how many bytes are reserved.
 func (m *memoryBudget) reserved() int64 { return m.limit.Load() - m.available.Load() }
 
-// reserve takes n bytes and reports whether that many were available. If not, it takes none.
+// reserve takes n bytes and reports whether that many were available. If not, it takes none. Nothing is always available.
 func (m *memoryBudget) reserve(n int) bool {
-	if m == nil || m.available.Add(-int64(n)) >= 0 {
+	if m == nil || n == 0 {
 		return true
 	}
-	m.available.Add(int64(n))
-	return false
+	for {
+		available := m.available.Load()
+		if available < int64(n) {
+			return false
+		}
+		if m.available.CompareAndSwap(available, available-int64(n)) {
+			return true
+		}
+	}
 }
 
 // release returns n bytes that were reserved.
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -308,3 +309,41 @@
 	}
 	want(t, "targets", fmt.Sprint(targets), fmt.Sprint([]int64{h.capacity.MaxCollectorTarget, h.capacity.CalmCollectorTarget}))
 }
+
+// TestFailedReservationTakesNothingFromOthers guards against refusing an ordinary head or body, which takes nothing from its
+// budget, or one for which there is memory, at the moment in which a large one finds too little.
+func TestFailedReservationTakesNothingFromOthers(t *testing.T) {
+	const rounds, held = 200_000, 1 << 10
+	var budget memoryBudget
+	budget.setLimit(held)
+	stop := make(chan struct{})
+	var failing sync.WaitGroup
+	for range 2 {
+		failing.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					budget.reserve(maxHeadBytes)
+				}
+			}
+		})
+	}
+	refused := 0
+	for range rounds {
+		if !budget.reserve(0) {
+			refused++
+		}
+		if !budget.reserve(held) {
+			refused++
+			continue
+		}
+		budget.release(held)
+	}
+	close(stop)
+	failing.Wait()
+	want(t, "reservations refused", refused, 0)
+	budget.setLimit(-held) // as if a reload had lowered the limit below what is held
+	want(t, "nothing is available over the limit", budget.reserve(0), true)
+}
