Let operators name every listed upstream, however long the list is

Each whole list went through a ring of that size.

Change: all IDs that are listed or in maintenance are known by the table that has them anyway; the ring holds only those that have left the list. TestEveryListedUpstreamIsKnown: 14,000 listed ones known, one that left still known, one that was never listed not.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -40,7 +40,7 @@
 	// last response as a new watch.
 	minWatchInterval = 100 * time.Millisecond
 	maxListBytes     = 4 << 20 // of a response; a longer one is cut off and fails to decode
-	maxRecentIDs     = 4096    // well over the number of upstreams, and less than 1 MB
+	maxDepartedIDs   = 4096    // upstreams that have left the list and that operators may still name
 )
 
 // discoveryList is a list from discovery: all upstreams if Complete, otherwise the changed ones.
@@ -123,26 +123,25 @@
 	delete(n.ids, text)
 }
 
-// recentIDs holds the IDs that lists have named, up to maxRecentIDs of them. Operators' calls for other IDs
-// are rejected.
-type recentIDs struct {
+// departedIDs holds the IDs of the upstreams that have left the list last, up to maxDepartedIDs of them.
+type departedIDs struct {
 	known map[string]bool
 	order []string // a ring; the oldest is at next once it is full
 	next  int
 }
 
-func newRecentIDs() *recentIDs { return &recentIDs{known: map[string]bool{}} }
+func newDepartedIDs() *departedIDs { return &departedIDs{known: map[string]bool{}} }
 
 // add records an ID, and forgets the oldest one if there are too many.
-func (r *recentIDs) add(id string) {
+func (r *departedIDs) add(id string) {
 	switch {
 	case r.known[id]:
 		return
-	case len(r.order) < maxRecentIDs:
+	case len(r.order) < maxDepartedIDs:
 		r.order = append(r.order, id)
 	default:
 		delete(r.known, r.order[r.next])
-		r.order[r.next], r.next = id, (r.next+1)%maxRecentIDs
+		r.order[r.next], r.next = id, (r.next+1)%maxDepartedIDs
 	}
 	r.known[id] = true
 }
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -30,7 +30,7 @@
 	// lockRetryInterval is the time between two attempts to lock the state file. The lock is held for one
 	// read and one write.
 	lockRetryInterval = 2 * time.Millisecond
-	// maxOrdersBytes limits the size of the state file. maxRecentIDs upstream IDs of usual length fit.
+	// maxOrdersBytes limits the size of the state file. 14,000 upstream IDs of usual length fit.
 	maxOrdersBytes = 256 << 10
 	// overlapProcesses is how many processes share the limits: the old one and the new one. Up to
 	// maxProcesses may run if earlier ones have not ended yet.
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -51,7 +51,7 @@
 	uptime          func() (time.Duration, error) // of the machine, for requestIDs if they are shared
 	upstreams       map[garnettide.UpstreamID]*upstream
 	inMaintenance   map[string]garnettide.UpstreamID // upstreams in maintenance, by discovery ID
-	recentIDs       *recentIDs
+	departedIDs     *departedIDs
 	connCount       int              // connections to upstreams, open or being opened
 	pendingOutcomes []pendingOutcome // collected because methods of Host must not call the Balancer
 	nextIdleSweep   time.Duration
@@ -69,7 +69,7 @@
 		upstreamIDs: newUpstreamIDs(), requests: map[garnettide.RequestID]*request{}, openIDs: map[string]bool{}, requestIDs: &requestIDTable{},
 		uptime:    readUptime,
 		upstreams: map[garnettide.UpstreamID]*upstream{}, inMaintenance: map[string]garnettide.UpstreamID{},
-		recentIDs: newRecentIDs(), onListApplied: c.OnListApplied, capacity: capacity, collectorTarget: capacity.CollectorTarget(0),
+		departedIDs: newDepartedIDs(), onListApplied: c.OnListApplied, capacity: capacity, collectorTarget: capacity.CollectorTarget(0),
 		onCollectorTarget: c.OnCollectorTarget}
 	// The clock starts at Unix time, so that discovery's timestamps can be compared with it, and advances with
 	// the monotonic clock, so that it is not affected when the system clock is set.
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -469,3 +469,27 @@
 		})
 	}
 }
+
+// TestEveryListedUpstreamIsKnown guards against refusing operators' calls for upstreams of a long list, and against
+// forgetting one at once when it leaves the list.
+func TestEveryListedUpstreamIsKnown(t *testing.T) {
+	const upstreams = 14000
+	h := newLoopHarness(t)
+	server := &testUpstream{addr: "127.0.0.1:9"}
+	id := func(i int) string { return fmt.Sprintf("s-%08x", i) }
+	members := make([]member, upstreams)
+	for i := range members {
+		members[i] = upMember(id(i), server)
+	}
+	h.setMembers(20, members...)
+	unknown := 0
+	for i := range members {
+		if !h.knowsUpstream(id(i)) {
+			unknown++
+		}
+	}
+	want(t, "listed upstreams that are not known", unknown, 0)
+	want(t, "one that was never listed is known", h.knowsUpstream(id(upstreams)), false)
+	h.setMembers(21, members[1:]...)
+	want(t, "one that has left the list is known", h.knowsUpstream(id(0)), true)
+}
--- a/internal/proxy/membership.go
+++ b/internal/proxy/membership.go
@@ -28,9 +28,16 @@
 func (l *loop) releaseID(id string) {
 	if _, inMaintenance := l.inMaintenance[id]; !inMaintenance {
 		l.upstreamIDs.release(id)
+		l.departedIDs.add(id)
 	}
 }
 
+// knowsUpstream reports whether an upstream is listed or in maintenance, or has left the list not long ago.
+func (l *loop) knowsUpstream(id string) bool {
+	_, present := l.upstreamIDs.ids[id]
+	return present || l.departedIDs.known[id]
+}
+
 // usable reports whether requests may be sent to u.
 func (l *loop) usable(u *upstream) bool {
 	_, inMaintenance := l.inMaintenance[u.discoveryID]
@@ -128,7 +135,6 @@
 		m := &list.Members[i]
 		entry := m.upstream(l.upstreamIDs.id(m.ID))
 		present[entry.ID] = true
-		l.recentIDs.add(m.ID)
 		entries = append(entries, entry)
 		l.applyMember(entry, m)
 	}
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -165,10 +165,7 @@
 // setOffline takes an upstream offline for maintenance, or back online.
 func (s *adminServer) setOffline(ctx context.Context, id string, offline bool) error {
 	var known bool
-	if err := s.runOnLoop(ctx, func(l *loop) {
-		_, off := l.inMaintenance[id]
-		known = off || l.recentIDs.known[id]
-	}); err != nil {
+	if err := s.runOnLoop(ctx, func(l *loop) { known = l.knowsUpstream(id) }); err != nil {
 		return err
 	}
 	if !known {
