--- a/internal/proxy/chunked.go
+++ b/internal/proxy/chunked.go
@@ -6,7 +6,7 @@
 	"io"
 	"math"
 	"net"
-	"strconv"
+	"unicode"
 )
 
 // maxChunkOverhead limits the bytes of framing beyond those that a usual sender needs, so that a body of little data is
@@ -44,10 +44,18 @@
 	b.conn.readLimit.N = math.MaxInt64
 	for n < len(p) {
 		switch {
-		case b.last && n > 0, !b.last && n > 0 && !b.moreBuffered():
+		case b.last && n > 0, b.remaining > 0 && n > 0 && b.conn.reader.Buffered() == 0:
 			return n, nil
 		case b.last:
 			return 0, b.readTrailer()
+		case b.remaining == 0 && n > 0:
+			line := b.bufferedChunkHead()
+			if line == nil {
+				return n, nil
+			}
+			if err := b.takeChunkHead(line); err != nil {
+				return n, err
+			}
 		case b.remaining == 0:
 			if err := b.readChunkHead(); err != nil {
 				return n, bodyError(err)
@@ -65,15 +73,6 @@
 	return n, nil
 }
 
-// moreBuffered reports whether data, or the whole head of the next chunk, is in the connection's buffer.
-func (b *chunkedBody) moreBuffered() bool {
-	if b.remaining > 0 {
-		return b.conn.reader.Buffered() > 0
-	}
-	buffered, _ := b.conn.reader.Peek(b.conn.reader.Buffered())
-	return bytes.IndexByte(buffered[min(len(buffered), b.lineEndLength()):], '\n') >= 0
-}
-
 // lineEndLength returns the length of the line end that precedes the head of the next chunk.
 func (b *chunkedBody) lineEndLength() int {
 	if b.afterData {
@@ -82,14 +81,30 @@
 	return 0
 }
 
+// bufferedChunkHead returns the head of the next chunk, with the line end before it, if it has arrived whole, or else nil.
+func (b *chunkedBody) bufferedChunkHead() []byte {
+	buffered, _ := b.conn.reader.Peek(b.conn.reader.Buffered())
+	for i := b.lineEndLength(); i < len(buffered); i++ { // heads are short
+		if buffered[i] == '\n' {
+			return buffered[:i+1]
+		}
+	}
+	return nil
+}
+
 // readChunkHead reads the head of the next chunk. If it fails with a timeout it can be called again.
 func (b *chunkedBody) readChunkHead() error {
-	lineEnd := b.lineEndLength()
-	line, err := b.conn.peekLine(lineEnd)
+	line, err := b.conn.peekLine(b.lineEndLength())
 	if err != nil {
 		return err
 	}
-	if b.afterData && !bytes.HasPrefix(line, []byte("\r\n")) {
+	return b.takeChunkHead(line)
+}
+
+// takeChunkHead consumes the head of the next chunk, which is at the beginning of the connection's buffer.
+func (b *chunkedBody) takeChunkHead(line []byte) error {
+	lineEnd := b.lineEndLength()
+	if b.afterData && (line[0] != '\r' || line[1] != '\n') {
 		return errAmbiguousFraming
 	}
 	size, ok := parseChunkHead(line[lineEnd:])
@@ -105,20 +120,55 @@
 	return nil
 }
 
+// maxChunkDigits is the length of the largest size in a chunk's head, and maxChunkSize leaves room for sums of sizes.
+const (
+	maxChunkDigits = 16
+	maxChunkSize   = math.MaxInt64 / 4
+)
+
 // parseChunkHead returns the size in a chunk's head, without extensions. It refuses a line that ends in a bare line
 // feed, which another recipient could take for a part of it.
 func parseChunkHead(line []byte) (size int64, ok bool) {
-	if bytes.IndexByte(line, '\r') != len(line)-len("\r\n") {
+	text, hasEnd := bytes.CutSuffix(line, []byte("\r\n"))
+	if !hasEnd {
 		return 0, false
 	}
-	digits, _, _ := bytes.Cut(bytes.TrimRight(line, " \t\r\n"), []byte(";"))
-	if bytes.ContainsAny(digits, "+-_") {
+	digits, value := 0, uint64(0)
+	for ; digits < len(text) && digits < maxChunkDigits && hexValues[text[digits]] != notHex; digits++ {
+		value = value<<4 | uint64(hexValues[text[digits]])
+	}
+	if digits == 0 || value > maxChunkSize || !isChunkHeadEnd(text[digits:]) {
 		return 0, false
 	}
-	size, err := strconv.ParseInt(string(digits), 16, 64)
-	return size, err == nil && size <= math.MaxInt64/4 && len(digits) <= 16
+	return int64(value), true
 }
 
+// isChunkHeadEnd reports whether text may follow the size in a chunk's head: an extension, or spaces that are ignored.
+func isChunkHeadEnd(text []byte) bool {
+	if len(text) == 0 {
+		return true
+	}
+	if text[0] == ';' {
+		return bytes.IndexByte(text, '\r') < 0
+	}
+	return len(bytes.Trim(text, " \t")) == 0
+}
+
+// notHex is the entry of hexValues of a byte that is no hexadecimal digit.
+const notHex = 0xff
+
+// hexValues has the value of each byte as a hexadecimal digit.
+var hexValues = func() (values [256]uint8) {
+	for i := range values {
+		values[i] = notHex
+	}
+	for value, digit := range "0123456789abcdef" {
+		values[digit] = uint8(value)
+		values[unicode.ToUpper(digit)] = uint8(value)
+	}
+	return values
+}()
+
 // readTrailer reads and discards the trailer. It returns io.EOF at its end.
 func (b *chunkedBody) readTrailer() error {
 	b.conn.readLimit.N = maxHeadBytes
--- a/internal/proxy/chunked_test.go
+++ b/internal/proxy/chunked_test.go
@@ -170,3 +170,21 @@
 	}
 	return false
 }
+
+// BenchmarkTinyChunks measures the reading of a body in chunks of one byte.
+func BenchmarkTinyChunks(b *testing.B) {
+	const chunks = 4096
+	text := []byte(strings.Repeat("1\r\nb\r\n", chunks) + lastChunk)
+	part := make([]byte, bodyBufferSize)
+	for b.Loop() {
+		body := newHTTPConn(&scriptedConn{pieces: [][]byte{text}}, clientReadBuffer).newChunkedBody()
+		for {
+			if _, err := body.Read(part); err == io.EOF {
+				break
+			} else if err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/chunks, "ns/chunk")
+}
