Let connections that pause for others yield to those that the network has made ready

With thousands of clients ordinary requests waited seconds for their turn, although connections pause for as long as they have worked.

Cause: the process has one core, and Go's scheduler takes goroutines that a timer wakes, as each pause ends, before those that the network has made ready, of which it takes one in 61 steps while there are others. Where hundreds of connections are busy there always are.

Change: a pause ends with a yield, which goes behind those that wait.

No unit test: it would have to judge times.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -52,7 +52,7 @@
 
 // newTimedConn wraps a client's connection.
 func newTimedConn(raw net.Conn) *timedConn {
-	return &timedConn{Conn: raw, slicer: workSlicer{sliceStart: time.Now(), pause: time.Sleep}}
+	return &timedConn{Conn: raw, slicer: workSlicer{sliceStart: time.Now(), pause: pauseForOthers}}
 }
 
 // Read reads from the connection. If limited is set, it fails with a timeout once remaining is used up.
--- a/internal/proxy/work_slicer.go
+++ b/internal/proxy/work_slicer.go
@@ -1,6 +1,9 @@
 package proxy
 
-import "time"
+import (
+	"runtime"
+	"time"
+)
 
 const (
 	// workSlice is how long a goroutine works without a wait before it pauses for the same time. The process has one
@@ -39,3 +42,10 @@
 		s.sliceStart = time.Now()
 	}
 }
+
+// pauseForOthers sleeps, and then lets all goroutines run that the network has made ready. Those that wake from a sleep
+// would go before them, and keep them waiting where many connections are busy.
+func pauseForOthers(worked time.Duration) {
+	time.Sleep(worked)
+	runtime.Gosched()
+}
