--- a/internal/scale/crowd.go
+++ b/internal/scale/crowd.go
@@ -26,6 +26,7 @@
 	crowdTinyChunks   = 2 << 10                // chunks of one byte that a client writes at a time
 	crowdPipeline     = 200                    // requests that a client writes at once
 	crowdLeaveDelay   = soakUpstreamTime / 2   // behind a request: an upstream has it, and has not responded
+	crowdReturnDelay  = 500 * time.Millisecond // until a client comes again that has sent much and left
 )
 
 // crowdBodySizeHeader is the header by which a request of a crowd tells its upstream the size of the response's body.
@@ -55,6 +56,7 @@
 		{"unread pipelines", pipeline},
 		{"leavers", leave},
 		{"leavers behind a sent request", leaveLater},
+		{"leavers behind a part of an upload", leaveUpload},
 	}
 }
 
@@ -219,3 +221,11 @@
 	leave(ctx, c, id)
 	sleepUntilDone(ctx, crowdLeaveDelay)
 }
+
+// leaveUpload writes the start of a long body, closes the connection at once and comes again some time later.
+func leaveUpload(ctx context.Context, c net.Conn, id string) {
+	io.WriteString(c, uploadHead(id, crowdLongBody))
+	c.Write(make([]byte, crowdStoppedBytes))
+	c.Close()
+	sleepUntilDone(ctx, crowdReturnDelay)
+}
