--- a/balancer_test.go
+++ b/balancer_test.go
@@ -34,109 +34,6 @@
 	return u
 }
 
-// Guards against a wrong mean, or the sample deviation in place of the population deviation.
-func TestMeanAndDeviationOfReadings(t *testing.T) {
-	mean, dev := meanAndDeviation([]float64{0.2, 0.4, 0.4, 0.4, 0.5, 0.5, 0.7, 0.9})
-	if math.Abs(mean-0.5) > 1e-9 || math.Abs(dev-0.2) > 1e-9 { // squared differences sum to 0.32
-		t.Errorf("got mean %v, deviation %v; want 0.5, 0.2", mean, dev)
-	}
-}
-
-// Guards against a band area that depends on the number of readings instead of their duration.
-func TestBandAreaIsIntegratedOverTimeNotReadings(t *testing.T) {
-	b, _ := start(t, settings(), fleet(1))
-	u := b.upstreams[0]
-	u.utilDev, u.utilMean, u.integratedAt = 0.1, 0.3, time.Hour
-	b.integrateBand(u, time.Hour+250*ms)
-	b.integrateBand(u, time.Hour+500*ms)
-	if want := 2 * bandHalfWidth * 0.1 * 0.5; math.Abs(u.bandArea-want) > 1e-9 {
-		t.Errorf("got band area %v, want %v", u.bandArea, want)
-	}
-}
-
-// Guards against an upstream at constant full load that keeps its share because its readings do not vary,
-// and against one that loses its share at once or never regains it.
-func TestSaturatedUpstreamLosesShareGraduallyAndRegainsIt(t *testing.T) {
-	b, _ := start(t, settings(), fleet(3))
-	runPeriods := func(n int) {
-		for range n {
-			for _, u := range b.upstreams {
-				u.readings, u.utilMean = bandWindow, 0.3
-			}
-			b.upstreams[0].utilMean = 1 // constant readings at full load have no deviation
-			b.endPeriod(b.periodStart + bandPeriod)
-		}
-	}
-	runPeriods(2)
-	earlyFactor := b.upstreams[0].shareFactor
-	runPeriods(40)
-	if earlyFactor >= 1 || earlyFactor < minCutFactor*minCutFactor ||
-		b.upstreams[0].shareFactor != minShareFactor || b.upstreams[1].shareFactor != 1 {
-		t.Errorf("got share factor %v after 2 periods, %v after 42, %v of another upstream; want 0.64 to 1, 0.1, 1",
-			earlyFactor, b.upstreams[0].shareFactor, b.upstreams[1].shareFactor)
-	}
-	for range 80 {
-		b.upstreams[0].utilMean = 0.3
-		b.endPeriod(b.periodStart + bandPeriod)
-	}
-	if b.upstreams[0].shareFactor != 1 {
-		t.Errorf("got share factor %v after recovery, want 1", b.upstreams[0].shareFactor)
-	}
-}
-
-// Guards against shares that are reduced when the load of all upstreams rises.
-func TestFleetWideRiseReducesNoShares(t *testing.T) {
-	b, _ := start(t, settings(), fleet(4))
-	for range 10 {
-		for _, u := range b.upstreams {
-			u.readings, u.utilMean, u.utilDev = bandWindow, 0.95, 0.2
-		}
-		b.endPeriod(b.periodStart + bandPeriod)
-	}
-	for _, u := range b.upstreams {
-		if u.shareFactor != 1 {
-			t.Errorf("upstream %d: got share factor %v, want 1", u.ID, u.shareFactor)
-		}
-	}
-}
-
-// Guards against a report that is counted as a new reading in each response that repeats it.
-func TestRepeatedReportIsIgnored(t *testing.T) {
-	b, _ := start(t, settings(), fleet(1))
-	u := b.upstreams[0]
-	for i, util := range []float64{0.5, 0.5, 0.6, 0.6, 0.5} {
-		b.recordLoad(u, Load{Fields: HasUtil, Util: util}, true, 0, time.Hour+time.Duration(i)*ms)
-	}
-	if u.readings != 3 {
-		t.Errorf("got %d readings, want 3", u.readings)
-	}
-}
-
-// Guards against utilisation readings from the wrong value of a report, or from latency although there are
-// reports.
-func TestUtilisationReadingSources(t *testing.T) {
-	for _, c := range []struct {
-		name         string
-		reports      ReportMode
-		load         Load
-		latencyRatio float64 // latency divided by the latency target
-		want         float64
-	}{
-		{"utilisation", ReportInResponses, Load{Fields: HasUtil | HasQueue, Util: 0.7, Queue: 9}, 0.2, 0.7},
-		{"requests in flight", ReportInResponses, Load{Fields: HasInflight, Inflight: 3}, 0.2, 0.75},
-		{"queue", ReportInResponses, Load{Fields: HasQueue, Queue: 1}, 0.2, 0.5},
-		{"no reports: latency relative to the target", ReportNone, Load{}, 0.2, 0.2},
-	} {
-		s := settings()
-		s.Reports = c.reports
-		b, _ := start(t, s, fleet(1))
-		if b.recordLoad(
-			b.upstreams[0], c.load, true, c.latencyRatio, time.Hour); math.Abs(b.upstreams[0].utilMean-c.want) > 1e-9 {
-			t.Errorf("%s: got reading %v, want %v", c.name, b.upstreams[0].utilMean, c.want)
-		}
-	}
-}
-
 // Guards against turns that are not interleaved evenly: with equal weights each upstream takes every second
 // turn, and with a third of the other's weight every fourth.
 func TestReducedWeightTakesEveryFourthTurn(t *testing.T) {
@@ -247,35 +144,6 @@
 	}
 }
 
-// Guards against a concurrency limit that stays high under slow responses, or low after an overload.
-func TestOverloadedUpstreamRecovers(t *testing.T) {
-	b, _ := start(t, settings(), fleet(1))
-	u, now := b.upstreams[0], time.Hour
-	respond := func(id RequestID, latency time.Duration) {
-		now += time.Second
-		b.Request(now, Request{ID: id, Class: "write", Budget: time.Second})
-		if r := b.requests[id]; r != nil && r.attemptsInFlight == 1 {
-			now += latency
-			b.Outcome(now, Outcome{ID: id, Upstream: u.ID, Latency: latency, Status: OK, RequestDone: true})
-		}
-	}
-	for i := range 30 {
-		respond(RequestID(i+1), 80*ms)
-	}
-	normalLimit := u.limit
-	for i := range 20 {
-		respond(RequestID(i+100), 290*ms)
-	}
-	if u.limit > normalLimit/4 {
-		t.Errorf("got limit %v after slow responses, want at most a quarter of %v", u.limit, normalLimit)
-	}
-	u.pausedUntil = now
-	respond(500, 80*ms)
-	if u.limit < b.initialLimit {
-		t.Error("got a limit below the initial one after a fast response, want it restored")
-	}
-}
-
 // Guards against requests that are refused before the first list has arrived, or then sent in another order
 // than by worth.
 func TestQueuedRequestsAreSentByWorthOnceListArrives(t *testing.T) {
@@ -577,39 +445,6 @@
 func (discardHost) Refuse(RequestID, time.Duration)                          {}
 func (discardHost) SetTimer(time.Duration, uint64)                           {}
 
-// Guards against a minimum limit per balancer whose sum over many balancers keeps an upstream overloaded.
-func TestMinimumLimitIsSharedByAllBalancers(t *testing.T) {
-	for _, n := range []int{2, 24} {
-		s := settings()
-		s.Balancers = n
-		b, _ := start(t, s, fleet(1))
-		for i := range 60 {
-			b.cutLimit(b.upstreams[0], time.Hour+time.Duration(i)*time.Second, limitCutFactor)
-		}
-		if total := b.upstreams[0].limit * float64(n); math.Abs(total-minFleetLimit) > 1e-9 {
-			t.Errorf("%d balancers: got a total limit of %v, want %v", n, total, minFleetLimit)
-		}
-	}
-}
-
-// Guards against a balancer that starts while an upstream is overloaded, and takes its high latency for
-// normal.
-func TestOverloadedUpstreamIsComparedWithFleet(t *testing.T) {
-	b, _ := start(t, settings(), fleet(8))
-	for _, u := range b.upstreams {
-		u.readings, u.minLatency, u.baselineLatency = 1, float64(60*ms), float64(60*ms)
-	}
-	u := b.upstreams[3]
-	u.minLatency, u.baselineLatency = 0, 0
-	b.endPeriod(time.Hour + bandPeriod)
-	a := &attempt{req: &request{class: b.class("write", nil), workUnits: 1}, up: u}
-	b.recordOutcome(a, Outcome{Latency: 200 * ms, Status: OK}, time.Hour+2*bandPeriod)
-	if u.limit >= b.initialLimit {
-		t.Errorf("got limit %v after a latency of more than three times the fleet's baseline, want a lower one",
-			u.limit)
-	}
-}
-
 // Guards against balancers that start at the same time and send their first requests to every upstream at
 // once.
 func TestFirstRequestsAreSpread(t *testing.T) {
@@ -648,111 +483,6 @@
 	}
 }
 
-// Guards against limits that grow while an upstream is fully utilised.
-func TestLimitDoesNotGrowAtFullUtilisation(t *testing.T) {
-	for _, c := range []struct {
-		utilisation float64
-		grows       bool
-	}{{0.5, true}, {0.97, false}} {
-		b, _ := start(t, settings(), fleet(1))
-		u := b.upstreams[0]
-		u.utilMean, u.readings, u.minLatency, b.lastQueuedAt = c.utilisation, bandWindow, float64(50*ms), time.Hour
-		before := u.limit
-		b.recordOutcome(&attempt{req: &request{class: b.class("write", nil), workUnits: 1}, up: u},
-			Outcome{Latency: 50 * ms, Status: OK}, time.Hour)
-		if (u.limit > before) != c.grows {
-			t.Errorf("utilisation %v: got limit %v before a response, %v after it; want growth only at 0.5",
-				c.utilisation, before, u.limit)
-		}
-	}
-}
-
-// Guards against latency that is judged relative to weight: load-adjusted weights rise while an upstream is
-// idle, and its normal latency must not look like overload then.
-func TestIdleUpstreamOfHighWeightIsNotTakenForOverloaded(t *testing.T) {
-	b, _ := start(t, settings(), fleet(4))
-	for _, u := range b.upstreams {
-		u.utilMean, u.readings, u.minLatency, u.workUnits, u.latency =
-			0.2, bandWindow, float64(50*ms), 1, float64(50*ms)
-	}
-	b.endPeriod(time.Hour)
-	u := b.upstreams[0]
-	u.weight, u.limit, b.lastQueuedAt = 3, 2, time.Hour
-	b.recordOutcome(&attempt{req: &request{class: b.class("write", nil), workUnits: 1}, up: u},
-		Outcome{Latency: 55 * ms, Status: OK}, time.Hour)
-	if u.limit <= 2 {
-		t.Errorf("got limit %v, want more than 2", u.limit)
-	}
-}
-
-// Guards against limits that are reduced for latency that varies, when each balancer sees few responses.
-func TestVaryingLatencyIsNotTakenForOverload(t *testing.T) {
-	s := settings()
-	s.Balancers = 8
-	b, _ := start(t, s, fleet(4))
-	u := b.upstreams[0]
-	for i := range 30 {
-		latency := []time.Duration{190, 60, 60, 60}[i%4] * ms
-		now := 2*time.Hour + time.Duration(i)*time.Second
-		b.recordOutcome(&attempt{req: &request{class: b.class("write", nil), workUnits: 1}, up: u},
-			Outcome{Latency: latency, Status: OK}, now)
-		if i > 8 && u.limit < b.initialLimit {
-			t.Fatalf("response %d, latency %v: got limit %v, want at least %v", i, latency, u.limit, b.initialLimit)
-		}
-	}
-}
-
-// Guards against limits that grow many times over before the next reading can show full utilisation.
-func TestLimitAtMostDoublesPerPeriod(t *testing.T) {
-	s := settings()
-	s.Balancers = 1
-	b, _ := start(t, s, fleet(1))
-	u := b.upstreams[0]
-	u.minLatency = float64(10 * ms)
-	respond := func(now time.Duration) {
-		for range 50 {
-			b.lastQueuedAt = now
-			b.recordOutcome(&attempt{req: &request{class: b.class("write", nil), workUnits: 1}, up: u},
-				Outcome{Latency: 10 * ms, Status: OK}, now)
-		}
-	}
-	respond(time.Hour)
-	if u.limit != initialFleetLimit {
-		t.Errorf("got limit %v in the first period, want %v", u.limit, initialFleetLimit)
-	}
-	b.endPeriod(time.Hour + bandPeriod)
-	respond(time.Hour + bandPeriod)
-	if u.limit != 2*initialFleetLimit {
-		t.Errorf("got limit %v in the next period, want %v", u.limit, 2*initialFleetLimit)
-	}
-}
-
-// Guards against limits that are reduced for latency that is normal for its upstream or far below the
-// target, and against limits that are kept in an overload.
-func TestOnlyOverloadReducesLimit(t *testing.T) {
-	for _, c := range []struct {
-		name           string
-		currentLatency time.Duration
-		normalLatency  time.Duration
-		reduced        bool
-	}{
-		{"normal latency near the target", 280 * ms, 200 * ms, false},
-		{"twice the normal latency, a third of the target", 100 * ms, 50 * ms, false},
-		{"twice the normal latency, most of the target", 240 * ms, 120 * ms, true},
-	} {
-		b, _ := start(t, settings(), fleet(1))
-		u := b.upstreams[0]
-		u.latency, u.workUnits, u.smoothedLatency, u.baselineLatency =
-			float64(c.currentLatency), 1, float64(c.normalLatency), float64(c.normalLatency)
-		b.recordOutcome(&attempt{req: &request{class: b.class("write", nil), workUnits: 1}, up: u},
-			Outcome{Latency: c.currentLatency, Status: OK}, 2*time.Hour)
-		if (u.limit < b.initialLimit) != c.reduced {
-			t.Errorf("%s: got limit %v, initial limit %v; want it reduced only for overload",
-				c.name, u.limit, b.initialLimit)
-		}
-	}
-}
-
 // Guards against subsets that are too large, which would exhaust connections and leave each balancer too
 // few responses from each upstream, and against upstreams that are used by too many or too few balancers.
 func TestSubsetsAreSmallAndEven(t *testing.T) {
@@ -837,30 +567,6 @@
 	}
 }
 
-// Guards against limits that never grow when a balancer gets few responses, of which hardly any has the
-// minimum latency. Utilisation readings decide then.
-func TestLimitGrowsByUtilisationAtLowTraffic(t *testing.T) {
-	for _, c := range []struct {
-		balancers   int
-		utilisation float64
-		grows       bool
-	}{{8, 0.4, true}, {8, 0.9, false}, {2, 0.4, false}} {
-		s := settings()
-		s.Balancers = c.balancers
-		b, _ := start(t, s, fleet(1))
-		u := b.upstreams[0]
-		u.readings, u.utilMean, u.minLatency, u.smoothedLatency, u.baselineLatency =
-			bandWindow, c.utilisation, float64(30*ms), float64(60*ms), float64(60*ms)
-		b.lastQueuedAt = time.Hour
-		a := &attempt{req: &request{class: b.class("write", nil), workUnits: 1}, up: u}
-		b.recordOutcome(a, Outcome{Latency: 60 * ms, Status: OK}, time.Hour) // twice the minimum latency
-		if (u.limit > b.initialLimit) != c.grows {
-			t.Errorf("%+v: got limit %v, initial limit %v; want growth only if grows is true",
-				c, u.limit, b.initialLimit)
-		}
-	}
-}
-
 // Guards against retries past their latency target that use up capacity in an overload.
 func TestLateRetryIsRefusedWhileCapacityIsShort(t *testing.T) {
 	for _, c := range []struct {
@@ -982,50 +688,6 @@
 	}
 }
 
-// Guards against limits that are reduced for single slow responses when a balancer gets few responses and
-// utilisation is low.
-func TestLimitIsNotReducedAtLowTrafficAndUtilisation(t *testing.T) {
-	for _, c := range []struct {
-		balancers   int
-		utilisation float64
-		reduced     bool
-	}{{8, 0.5, false}, {8, 0.95, true}, {2, 0.5, true}} {
-		s := settings()
-		s.Balancers = c.balancers
-		b, _ := start(t, s, fleet(1))
-		u := b.upstreams[0]
-		u.readings, u.utilMean, u.latency, u.workUnits, u.smoothedLatency, u.baselineLatency =
-			1, c.utilisation, float64(250*ms), 1, float64(60*ms), float64(60*ms)
-		a := &attempt{req: &request{class: b.class("write", nil), workUnits: 1}, up: u}
-		b.recordOutcome(a, Outcome{Latency: 250 * ms, Status: OK}, 2*time.Hour)
-		if (u.limit < b.initialLimit) != c.reduced {
-			t.Errorf("%+v: got limit %v, initial limit %v; want a lower limit only if reduced is true",
-				c, u.limit, b.initialLimit)
-		}
-	}
-}
-
-// Guards against the pause between attempts applying to an upstream that has been idle, since requests
-// arrive at random.
-func TestIdleUpstreamMayTakeOneAttemptAtOnce(t *testing.T) {
-	b, _ := start(t, settings(), fleet(1))
-	u := b.upstreams[0]
-	u.limit, u.latency = 0.2, float64(100*ms)
-	respond := func(startedAt time.Duration) {
-		u.limit = 0.2
-		a := &attempt{req: &request{class: b.class("write", nil), workUnits: 1}, up: u, sentAt: startedAt}
-		b.recordOutcome(a, Outcome{Latency: 100 * ms, Status: Error}, startedAt+100*ms)
-	}
-	now := 2 * time.Hour // idle for an hour
-	if respond(now); u.pausedUntil > now+100*ms {
-		t.Errorf("after one attempt: got the next one after %v, want it after at most 100ms", u.pausedUntil-now)
-	}
-	if respond(now + 100*ms); u.pausedUntil < now+500*ms {
-		t.Errorf("after two attempts in a row: got the next one %v after the first, want at least 500ms",
-			u.pausedUntil-now)
-	}
-}
-
 // Guards against an upstream that counts as unresponsive after a fast response, when a balancer gets so few
 // responses that the mean follows the last one.
 func TestOneFastResponseDoesNotShortenResponseTimeout(t *testing.T) {
@@ -1041,26 +703,3 @@
 		t.Errorf("got response timeout %v with latencies of about 100ms, want at least 200ms", timeout)
 	}
 }
-
-// Guards against limits that each balancer raises while utilisation is low, and whose sum overloads the
-// upstream at the next peak.
-func TestTotalLimitOfAllBalancersIsCapped(t *testing.T) {
-	for _, balancers := range []int{1, 2, 4} {
-		s := settings()
-		s.Balancers = balancers
-		b, _ := start(t, s, fleet(1))
-		u := b.upstreams[0]
-		u.utilMean, u.readings, u.minLatency = 0.2, bandWindow, float64(10*ms)
-		for now := time.Hour; now < time.Hour+20*bandPeriod; now += bandPeriod {
-			b.lastQueuedAt = now
-			for range 50 {
-				b.recordOutcome(&attempt{req: &request{class: b.class("write", nil), workUnits: 1}, up: u},
-					Outcome{Latency: 10 * ms, Status: OK}, now)
-			}
-			b.endPeriod(now)
-		}
-		if total := u.limit * float64(balancers); math.Abs(total-maxFleetLimit) > 1e-9 {
-			t.Errorf("%d balancers: got a total limit of %v, want %v", balancers, total, maxFleetLimit)
-		}
-	}
-}
