--- a/internal/proxy/upstream_conn.go
+++ b/internal/proxy/upstream_conn.go
@@ -83,7 +83,7 @@
 // the upstream's.
 func (t upstreamTransport) dial(address string, wanted func() bool) (net.Conn, error) {
 	for start := time.Now(); ; time.Sleep(dialRetryInterval) {
-		remaining := t.timeout - time.Since(start)
+		remaining := max(t.timeout-time.Since(start), time.Nanosecond) // 0 would be no limit
 		c, err := t.open("tcp", address, remaining)
 		if err == nil || remaining <= dialRetryInterval || !isLocalDialError(err) || !wanted() {
 			return c, err
